--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -8,6 +8,9 @@
 
 const GREATEST_QUEUE = 4_096
 const LEAST_RETRY_MS = 1_000
+/** A first token is late past this many times the expected time, and a margin in milliseconds. */
+const LATE_FACTOR = 2
+const LATE_MS = 150
 /** A waiting job takes a lower tier's place once less than this share of its start target is left. */
 const YIELD_SHARE = 0.5
 
@@ -24,6 +27,7 @@
   private readonly waitingMs = new Array<number>(LOWEST_TIER + 1).fill(0)
   private readonly expected = new Map<string, number>()
   private readonly yielding = new Set<string>()
+  private ended = 0
   readonly limit = new Limit()
   readonly pace = new Pace()
 
@@ -80,8 +84,8 @@
   remove (id: string, now: number): Effect[] {
     const run = this.runs.get(id)
     if (run !== undefined) {
-      if (this.waiting > 0) this.limit.grow(this.runs.size)
       this.runs.delete(id)
+      this.ended++
       this.yielding.delete(id)
       return this.next(now)
     }
@@ -115,10 +119,10 @@
     if (run === undefined || tokens <= 0) return
     const tookMs = now - run.tokenAt
     if (run.tokens === 0) {
-      this.pace.learnFirst(run.job.promptTokens, tookMs)
+      this.learnFirst(run, tookMs, now)
     } else {
       this.pace.learnGap(tokens, tookMs)
-      this.limit.learn(tookMs / tokens, now)
+      this.limit.learn(tookMs / tokens, this.waiting > 0, now)
     }
     run.tokenAt = now
     run.tokens += tokens
@@ -140,7 +144,7 @@
         effects.push({ effect: 'refuse', job, reason: Reason.late, retryAfterMs })
       } else if (this.runs.size < this.limit.jobs) {
         this.take(job)
-        this.runs.set(job.id, { job, startedAt: now, tokenAt: now, tokens: 0 })
+        this.runs.set(job.id, { job, startedAt: now, tokenAt: now, tokens: 0, endedBefore: this.ended })
         effects.push({ effect: 'dispatch', job })
       } else {
         const victim = this.victimFor(job, now)
@@ -164,6 +168,18 @@
     return now < yieldAt ? yieldAt : Math.max(job.startBy, now + 1)
   }
 
+  /** A first token that was late and came after another job ended had waited inside the server. */
+  private learnFirst (run: Run, tookMs: number, now: number): void {
+    const isLate = tookMs > LATE_FACTOR * this.pace.startMs(run.job) + LATE_MS
+    if (!isLate || run.endedBefore === this.ended) {
+      this.pace.learnFirst(run.job.promptTokens, tookMs)
+      return
+    }
+    let producing = 0
+    for (const each of this.runs.values()) if (each.tokens > 0) producing++
+    this.limit.full(producing, now)
+  }
+
   private head (): Job | undefined {
     for (const line of this.lines) if (line.size > 0) return line.peek()
     return undefined
