Carry frequent calls between hosts over one stream a pair

Cause: each offer, submit and begin was a call of its own. The profile of the entry showed the time in the per-call layers of the transport, in zlib, and in building web requests and streams that nothing used. Change: one bidirectional stream a pair of hosts carries frames, those of one turn of the event loop in one envelope; no compression between hosts; bodies are read and events written on Node's own streams.

--- a/src/entry/body.ts
+++ b/src/entry/body.ts
@@ -1,3 +1,4 @@
+import type { IncomingMessage } from 'node:http'
 import { err, ok, type Result } from 'neverthrow'
 import { Failure, toError } from '../base/index.js'
 
@@ -7,24 +8,28 @@
 /**
  * Reads a request's body up to a bound.
  *
- * @param request - the request
+ * @param incoming - the request
  * @param greatestBytes - the longest body taken
  * @returns the body
  */
-export async function readBody (request: Request, greatestBytes: number): Promise<Result<Buffer, BodyFailure>> {
-  const tooLong = () => err(new BodyFailure('BodyFailure', { code: 'too-long' }, `the body is over ${greatestBytes} bytes`))
-  if (Number(request.headers.get('content-length') ?? 0) > greatestBytes) return tooLong()
-  if (request.body === null) return ok(Buffer.alloc(0))
-  const parts: Uint8Array[] = []
-  let bytes = 0
+export async function readBody (incoming: IncomingMessage, greatestBytes: number):
+Promise<Result<Buffer, BodyFailure>> {
+  const parts: Buffer[] = []
+  let bytes = Number(incoming.headers['content-length'] ?? 0)
+  if (bytes > greatestBytes) return err(tooLong(greatestBytes))
+  bytes = 0
   try {
-    for await (const part of request.body) {
-      bytes += part.length
-      if (bytes > greatestBytes) return tooLong()
-      parts.push(part)
+    for await (const part of incoming) {
+      bytes += (part as Buffer).length
+      if (bytes > greatestBytes) return err(tooLong(greatestBytes))
+      parts.push(part as Buffer)
     }
   } catch (thrown) {
     return err(new BodyFailure('BodyFailure', { code: 'broken', cause: toError(thrown) }, 'the body did not come whole'))
   }
   return ok(Buffer.concat(parts))
 }
+
+function tooLong (greatestBytes: number): BodyFailure {
+  return new BodyFailure('BodyFailure', { code: 'too-long' }, `the body is over ${greatestBytes} bytes`)
+}
--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -49,7 +49,7 @@
     if (service === undefined) {
       return problemResponse(rejection(requestId, NOT_FOUND, 'unknown-service', `there is no service "${name}"`))
     }
-    const body = await readBody(c.req.raw, this.context.greatestBodyBytes)
+    const body = await readBody(c.env.incoming, this.context.greatestBodyBytes)
     if (body.isErr()) return problemResponse(rejection(requestId, TOO_LONG, body.error.code, body.error.message))
     const sent = idempotencyKey(c.req.header('idempotency-key'))
     if (sent.isErr()) return problemResponse(rejection(requestId, BAD_REQUEST, 'malformed', sent.error.message))
--- a/src/entry/drafts.ts
+++ b/src/entry/drafts.ts
@@ -1,3 +1,5 @@
+import type { ServerResponse } from 'node:http'
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response'
 import { type Context as Call, Hono } from 'hono'
 import { Metric } from '../metrics/index.js'
 import { type Ending, ending, Outcome, type Part } from '../owner/index.js'
@@ -6,11 +8,11 @@
 import { idempotencyKey } from './caller.js'
 import type { Context, Env } from './context.js'
 import { Delivery } from './delivery.js'
-import { type Draft, readDraft } from './demand.js'
+import { readDraft } from './demand.js'
 import type { Order } from './desk.js'
 import { type Gate, rejection } from './gate.js'
 import { problemResponse } from './problem.js'
-import { gather, responseOf, start, toEventStream } from './stream.js'
+import { gather, goneSignal, responseOf, start, writeEvents } from './stream.js'
 import { toProblem } from './verdict.js'
 
 const BAD_REQUEST = 400
@@ -38,7 +40,7 @@
     const { desk } = this.context
     const requestId = c.get('requestId')
     const organisation = c.get('organisation')
-    const body = await readBody(c.req.raw, this.context.greatestBodyBytes)
+    const body = await readBody(c.env.incoming, this.context.greatestBodyBytes)
     if (body.isErr()) return problemResponse(rejection(requestId, TOO_LONG, body.error.code, body.error.message))
     const draft = readDraft(body.value.toString('utf8'), organisation, desk.configuration())
     if (draft.isErr()) return problemResponse(rejection(requestId, BAD_REQUEST, draft.error.code, draft.error.message))
@@ -46,28 +48,28 @@
     if (sent.isErr()) return problemResponse(rejection(requestId, BAD_REQUEST, 'malformed', sent.error.message))
     const now = desk.clock.now()
     const key = sent.value === undefined ? mintKey(desk.self(), now) : callerKey(organisation, sent.value)
-    const { signal } = c.req.raw
+    const signal = goneSignal(c.env.outgoing)
     const isMinted = sent.value === undefined
     const order: Order = { requestId, key, isMinted, draft: draft.value, arrived: now, signal }
-    return await this.answer(order, new Delivery(desk, order).run(), draft.value)
+    return await this.answer(c.env.outgoing, order, new Delivery(desk, order).run())
   }
 
-  private async answer (order: Order, parts: AsyncGenerator<Part>, draft: Draft): Promise<Response> {
-    const { requestId } = order
+  private async answer (outgoing: ServerResponse, order: Order, parts: AsyncGenerator<Part>): Promise<Response> {
+    const { requestId, draft } = order
     this.gate.enter()
     const started = await start(parts)
     const firstAt = this.context.desk.clock.now()
-    const onEnd = (how: Ending | undefined): void => {
+    const onEnd = (how: Ending): void => {
       this.gate.leave()
-      this.note(order, draft, firstAt, how ?? ending(Outcome.unknown, 'caller-gone'))
+      this.note(order, firstAt, how)
     }
     if (started.first.part === 'end') {
       onEnd(started.first.ending)
       return problemResponse(toProblem(started.first.ending, requestId))
     }
     if (draft.isStream) {
-      const stream = toEventStream(started, how => toProblem(how, requestId), onEnd)
-      return new Response(stream, { headers: { 'content-type': 'text/event-stream', 'x-request-id': requestId } })
+      onEnd(await writeEvents(outgoing, requestId, started, how => toProblem(how, requestId)))
+      return RESPONSE_ALREADY_SENT
     }
     const gathered = await gather(started)
     onEnd(gathered.ending)
@@ -76,8 +78,8 @@
     return new Response(responseOf(gathered.events), { headers })
   }
 
-  private note (order: Order, draft: Draft, firstAt: number, how: Ending): void {
-    const { workClass, organisation } = draft.demand
+  private note (order: Order, firstAt: number, how: Ending): void {
+    const { workClass, organisation } = order.draft.demand
     const now = this.context.desk.clock.now()
     const tags = { tier: String(workClass.tier), className: workClass.name }
     const isMet = firstAt - order.arrived <= workClass.startWithinMs && now - order.arrived <= workClass.finishWithinMs
@@ -112,15 +114,17 @@
       return problemResponse(rejection(requestId, BAD_REQUEST, 'malformed', 'starting_after: expected a whole number'))
     }
     this.gate.enter()
-    const started = await start(this.context.desk.owners.attach(server, id, after, false, c.req.raw.signal))
+    const signal = goneSignal(c.env.outgoing)
+    const started = await start(this.context.desk.owners.attach(server, id, after, false, signal))
       .catch(() => undefined)
     if (started === undefined || started.first.part === 'end') {
       this.gate.leave()
       const how = started?.first.part === 'end' ? started.first.ending : ending(Outcome.unknown, 'owner-lost', 1_000)
       return problemResponse(toProblem(how, requestId))
     }
-    const stream = toEventStream(started, how => toProblem(how, requestId), () => this.gate.leave())
-    return new Response(stream, { headers: { 'content-type': 'text/event-stream', 'x-request-id': requestId } })
+    await writeEvents(c.env.outgoing, requestId, started, how => toProblem(how, requestId)).catch(() => undefined)
+    this.gate.leave()
+    return RESPONSE_ALREADY_SENT
   }
 
   private async cancel (c: Call<Env>): Promise<Response> {
--- a/src/entry/stream.ts
+++ b/src/entry/stream.ts
@@ -1,5 +1,5 @@
-import type { Ending, Part } from '../owner/index.js'
-import { Outcome } from '../owner/index.js'
+import type { ServerResponse } from 'node:http'
+import { type Ending, ending, Outcome, type Part } from '../owner/index.js'
 import { type Problem, problemEvent } from './problem.js'
 
 /** An answer from its first events on. */
@@ -9,6 +9,9 @@
   readonly rest: AsyncGenerator<Part>
 }
 
+/** The end of an answer whose reading stopped because the caller went away. */
+const CALLER_GONE: Part = { part: 'end', ending: ending(Outcome.unknown, 'caller-gone') }
+
 /**
  * Waits until an answer has events or has ended.
  *
@@ -18,45 +21,69 @@
 export async function start (parts: AsyncGenerator<Part>): Promise<Started> {
   for (;;) {
     const { value, done } = await parts.next()
-    if (done === true) throw new Error('an answer must close with an end')
+    if (done === true) return { first: CALLER_GONE, rest: parts }
     if (value.part !== 'begun') return { first: value, rest: parts }
   }
 }
 
 /**
- * Turns an answer into the bytes of an event stream. An answer that is not
- * whole closes with an error event.
+ * Tells when a caller goes away before its response is whole.
  *
+ * @param outgoing - the response
+ * @returns the signal
+ */
+export function goneSignal (outgoing: ServerResponse): AbortSignal {
+  const controller = new AbortController()
+  outgoing.on('close', () => {
+    if (!outgoing.writableFinished) controller.abort()
+  })
+  return controller.signal
+}
+
+/**
+ * Writes an answer as an event stream, at the caller's pace. An answer that is
+ * not whole closes with an error event.
+ *
+ * @param outgoing - the response
+ * @param requestId - the request
  * @param started - the answer
  * @param toProblem - says what an ending means to the caller
- * @param onEnd - called once with the ending, or with undefined if the caller went away
- * @returns the bytes
+ * @returns how it ended
  */
-export function toEventStream (
-  started: Started, toProblem: (how: Ending) => Problem, onEnd: (how: Ending | undefined) => void
-): ReadableStream<Uint8Array> {
-  let next: Part | undefined = started.first
+export async function writeEvents (
+  outgoing: ServerResponse, requestId: string, started: Started, toProblem: (how: Ending) => Problem
+): Promise<Ending> {
+  outgoing.writeHead(200, { 'content-type': 'text/event-stream', 'x-request-id': requestId })
   let last = -1
-  return new ReadableStream<Uint8Array>({
-    async pull (controller) {
-      const part: Part | undefined = next ?? (await started.rest.next()).value
-      next = undefined
-      if (part?.part === 'events') {
-        last = part.last
-        controller.enqueue(part.data)
-      } else if (part?.part === 'end') {
-        if (part.ending.outcome !== Outcome.answered) {
-          controller.enqueue(Buffer.from(problemEvent(toProblem(part.ending), last + 1)))
-        }
-        onEnd(part.ending)
-        controller.close()
-      }
-    },
-    async cancel () {
-      onEnd(undefined)
-      await started.rest.return(undefined)
+  for (let part = started.first; ;) {
+    if (part.part === 'end') {
+      if (part.ending.outcome !== Outcome.answered) outgoing.write(problemEvent(toProblem(part.ending), last + 1))
+      outgoing.end()
+      return part.ending
+    }
+    if (part.part === 'events') {
+      last = part.last
+      if (!outgoing.write(part.data)) await writable(outgoing)
+    }
+    const { value, done } = await started.rest.next()
+    part = done === true ? CALLER_GONE : value
+  }
+}
+
+function writable (outgoing: ServerResponse): Promise<void> {
+  return new Promise(resolve => {
+    if (outgoing.destroyed) {
+      resolve()
+      return
+    }
+    const done = (): void => {
+      outgoing.off('drain', done)
+      outgoing.off('close', done)
+      resolve()
     }
-  }, { highWaterMark: 0 })
+    outgoing.on('drain', done)
+    outgoing.on('close', done)
+  })
 }
 
 /** A whole answer, or how it ended instead. */
@@ -73,12 +100,11 @@
  */
 export async function gather (started: Started): Promise<Gathered> {
   const events: Buffer[] = []
-  for (let part: Part = started.first; ;) {
+  for (let part = started.first; ;) {
     if (part.part === 'end') return { events: Buffer.concat(events), ending: part.ending }
     if (part.part === 'events') events.push(part.data)
     const { value, done } = await started.rest.next()
-    if (done === true) throw new Error('an answer must close with an end')
-    part = value
+    part = done === true ? CALLER_GONE : value
   }
 }
 
--- a/src/host/handlers.ts
+++ b/src/host/handlers.ts
@@ -25,7 +25,7 @@
 type Impl = ServiceImpl<typeof pb.Peer>
 
 /** Answers the calls of other hosts. */
-export class Handlers {
+export class Handlers implements pb.Answerer {
   /** @param tools - what the answers work with */
   constructor (private readonly tools: HandlerTools) {}
 
@@ -35,18 +35,31 @@
       probe: request => this.probe(request),
       vouch: async request => ({ reached: await this.tools.heartbeat.reaches(request.member) }),
       entries: request => this.entries(request),
-      step: async request => await this.step(request),
-      copy: async request => await this.copy(request),
+      link: (envelopes, context) => new pb.Exchange(this).run(envelopes, context.signal),
       handover: request => this.handover(request),
-      recall: request => this.recall(request),
-      offer: request => this.offer(request),
-      submit: (request, context) => this.submit(request, context.signal),
-      attach: (request, context) => this.attach(request, context.signal),
-      cancel: async request => await this.cancel(request),
       dump: () => ({ json: JSON.stringify(this.tools.dump()) })
     }
   }
 
+  reply (request: pb.InBody): Promise<pb.Body> | undefined {
+    switch (request.case) {
+      case 'step': return this.step(request.value).then(value => ({ case: 'stepReply', value }))
+      case 'copy': return this.copy(request.value).then(value => ({ case: 'copyReply', value }))
+      case 'recall': return Promise.resolve({ case: 'recallReply', value: this.recall(request.value) })
+      case 'offer': return Promise.resolve({ case: 'offerReply', value: this.offer(request.value) })
+      case 'cancel': return this.cancel(request.value).then(() => ({ case: 'cancelReply', value: {} }))
+      default: return undefined
+    }
+  }
+
+  chunks (request: pb.InBody, signal: AbortSignal): AsyncGenerator<pb.ChunkBody> | undefined {
+    switch (request.case) {
+      case 'submit': return this.submit(request.value, signal)
+      case 'attach': return this.attach(request.value, signal)
+      default: return undefined
+    }
+  }
+
   private probe (request: pb.ProbeRequest): { member: string, memberRevision: number, configRevision: number } {
     const { members, configurations, clock, heartbeat } = this.tools
     members.watch.hear(request.member, clock.now())
@@ -89,7 +102,7 @@
     return { owned: true, ...this.tools.owner.forecast(request.server, demand, this.tools.clock.now()) }
   }
 
-  private async * submit (request: pb.SubmitRequest, signal: AbortSignal): AsyncGenerator<ReturnType<typeof toChunk>> {
+  private async * submit (request: pb.SubmitRequest, signal: AbortSignal): AsyncGenerator<pb.ChunkBody> {
     await this.catchUp(request.memberRevision)
     const demand = this.demand(request)
     if (demand === undefined) throw new ConnectError(`there is no class "${request.class}"`, Code.FailedPrecondition)
@@ -97,20 +110,19 @@
     const body = Buffer.from(request.body).toString('utf8')
     const submission = { ...demand, requestId, key, fingerprint, home, attempt, body, arrived, resendable }
     const answer = this.tools.owner.submit(request.server, submission, this.tools.clock.now())
-    yield * this.chunks(answer.read(-1, signal))
+    yield * this.toChunks(answer.read(-1, signal))
   }
 
-  private async * attach (request: pb.AttachRequest, signal: AbortSignal): AsyncGenerator<ReturnType<typeof toChunk>> {
-    yield * this.chunks(this.tools.owner.attach(request.server, request.responseId).read(request.after, signal))
+  private async * attach (request: pb.AttachRequest, signal: AbortSignal): AsyncGenerator<pb.ChunkBody> {
+    yield * this.toChunks(this.tools.owner.attach(request.server, request.responseId).read(request.after, signal))
   }
 
-  private async * chunks (parts: AsyncGenerator<Part>): AsyncGenerator<ReturnType<typeof toChunk>> {
+  private async * toChunks (parts: AsyncGenerator<Part>): AsyncGenerator<pb.ChunkBody> {
     for await (const part of parts) yield toChunk(part)
   }
 
-  private async cancel (request: pb.CancelRequest): Promise<object> {
+  private async cancel (request: pb.CancelRequest): Promise<void> {
     await this.tools.owner.cancel(request.server, request.responseId)
-    return {}
   }
 
   private demand (request: pb.OfferRequest | pb.SubmitRequest): Demand | undefined {
--- a/src/host/mates.ts
+++ b/src/host/mates.ts
@@ -3,7 +3,7 @@
 import type { Owners } from '../entry/index.js'
 import type { Member, View } from '../member/index.js'
 import type { Demand, Homes, Owner, Part, Submission } from '../owner/index.js'
-import { PeerFailure, type Peers } from '../peer/index.js'
+import { type Body, PeerFailure, type Peers } from '../peer/index.js'
 import { type Answer, type Copies, type Home, type KeyRecord, RecordFailure, type Step } from '../record/index.js'
 import type { Clock } from '../base/index.js'
 import { fromChunk, fromRecord, fromRuling, toRecord, toStep } from './wire.js'
@@ -24,6 +24,9 @@
   readonly owner: () => Owner
 }
 
+/** The ruling on a reply of the wrong kind. */
+const UNFIT: Answer = { ruling: 'unavailable', reason: 'the home sent a reply of another kind' }
+
 function recordFailure (cause: PeerFailure): RecordFailure {
   return new RecordFailure('RecordFailure', { code: 'unreachable', cause }, cause.message)
 }
@@ -42,10 +45,9 @@
     if (member === self()) return await home().take(step, clock.now())
     const callee = view().members.get(member)
     if (callee === undefined) return { ruling: 'unavailable', reason: `member ${member} is not there` }
-    const message = toStep(step, view().revision)
-    const reply = await peers
-      .call(callee, async (client, options) => await client.step(message, options), STEP_TIMEOUT_MS)
-    return reply.isOk() ? fromRuling(reply.value, step) : { ruling: 'unavailable', reason: reply.error.message }
+    const reply = await peers.ask(callee, { case: 'step', value: toStep(step, view().revision) }, STEP_TIMEOUT_MS)
+    if (reply.isErr()) return { ruling: 'unavailable', reason: reply.error.message }
+    return reply.value.case === 'stepReply' ? fromRuling(reply.value.value, step) : UNFIT
   }
 }
 
@@ -58,11 +60,12 @@
     const { self, peers, view } = this.reach
     const callee = view().members.get(member)
     if (callee === undefined) return errAsync(recordFailure(absent(member)))
-    const message = { record: toRecord(record), from: self(), memberRevision: view().revision }
-    return peers.call(callee, async (client, options) => await client.copy(message, options))
+    const value = { record: toRecord(record), from: self(), memberRevision: view().revision }
+    return peers.ask(callee, { case: 'copy', value })
       .mapErr(recordFailure)
       .andThen((reply): ResultAsync<KeyRecord, RecordFailure> => {
-        if (!reply.refused && reply.record !== undefined) return okAsync(fromRecord(reply.record))
+        const kept = reply.case === 'copyReply' && !reply.value.refused ? reply.value.record : undefined
+        if (kept !== undefined) return okAsync(fromRecord(kept))
         return errAsync(new RecordFailure('RecordFailure', { code: 'refused' }, `${member} knows another home`))
       })
   }
@@ -79,8 +82,10 @@
   recall (member: string, key: string): ResultAsync<KeyRecord | undefined, RecordFailure> {
     const callee = this.reach.view().members.get(member)
     if (callee === undefined) return errAsync(recordFailure(absent(member)))
-    return this.reach.peers.call(callee, async (client, options) => await client.recall({ key }, options))
-      .map(reply => reply.record === undefined ? undefined : fromRecord(reply.record)).mapErr(recordFailure)
+    return this.reach.peers.ask(callee, { case: 'recall', value: { key } }).map(reply => {
+      const record = reply.case === 'recallReply' ? reply.value.record : undefined
+      return record === undefined ? undefined : fromRecord(record)
+    }).mapErr(recordFailure)
   }
 }
 
@@ -94,10 +99,9 @@
     if (callee === undefined) return undefined
     if (callee.id === this.reach.self()) return this.reach.owner().forecast(server, demand, this.reach.clock.now())
     const { workClass, ...rest } = demand
-    const message = { ...rest, server, class: workClass.name }
-    const reply = await this.reach.peers
-      .call(callee, async (client, options) => await client.offer(message, options), FORECAST_TIMEOUT_MS)
-    return reply.isOk() ? reply.value : undefined
+    const value = { ...rest, server, class: workClass.name }
+    const reply = await this.reach.peers.ask(callee, { case: 'offer', value }, FORECAST_TIMEOUT_MS)
+    return reply.isOk() && reply.value.case === 'offerReply' ? reply.value.value : undefined
   }
 
   async * submit (server: string, submission: Submission, signal: AbortSignal): AsyncGenerator<Part> {
@@ -109,11 +113,8 @@
     }
     const { workClass, body, ...rest } = submission
     const memberRevision = this.reach.view().revision
-    const message = { ...rest, server, class: workClass.name, body: Buffer.from(body), memberRevision }
-    for await (const chunk of this.reach.peers.client(callee).submit(message, { signal })) {
-      const part = fromChunk(chunk)
-      if (part !== undefined) yield part
-    }
+    const value = { ...rest, server, class: workClass.name, body: Buffer.from(body), memberRevision }
+    yield * this.parts(callee, { case: 'submit', value }, signal)
   }
 
   async * attach (
@@ -124,11 +125,7 @@
       yield * this.reach.owner().attach(server, responseId).read(after, signal)
       return
     }
-    const message = { server, responseId, after }
-    for await (const chunk of this.reach.peers.client(callee).attach(message, { signal })) {
-      const part = fromChunk(chunk)
-      if (part !== undefined) yield part
-    }
+    yield * this.parts(callee, { case: 'attach', value: { server, responseId, after } }, signal)
   }
 
   async cancel (server: string, responseId: string): Promise<void> {
@@ -137,7 +134,14 @@
       await this.reach.owner().cancel(server, responseId)
       return
     }
-    await this.reach.peers.call(callee, async (client, options) => await client.cancel({ server, responseId }, options))
+    await this.reach.peers.ask(callee, { case: 'cancel', value: { server, responseId } })
+  }
+
+  private async * parts (callee: Member, body: Body, signal: AbortSignal): AsyncGenerator<Part> {
+    for await (const chunk of this.reach.peers.link(callee).stream(body, signal)) {
+      const part = fromChunk(chunk)
+      if (part !== undefined) yield part
+    }
   }
 
   private ownerOf (server: string): Member | undefined {
--- a/src/owner/reader.ts
+++ b/src/owner/reader.ts
@@ -59,21 +59,26 @@
     }
   }
 
-  private async drain (body: Body, sink: Sink): Promise<Result<void, EngineFailure>> {
+  /** Reads a stream until the answer's last event has passed or the stream ends. */
+  private drain (body: Body, sink: Sink): Promise<Result<void, EngineFailure>> {
     const splitter = new Splitter(GREATEST_EVENT_BYTES)
-    try {
-      for await (const bytes of body) {
-        if (this.stopped) break
-        const passed = this.take(splitter.push(bytes as Buffer), sink)
-        if (passed.isErr()) return err(passed.error)
-        if (this.guard.isDone) break
+    return new Promise(resolve => {
+      const finish = (result: Result<void, EngineFailure>): void => {
+        body.off('data', take)
+        // The rest is let through unread: ending the connection here would cost more than the few bytes left.
+        if (this.guard.isDone) body.resume()
+        else body.destroy()
+        resolve(result)
       }
-      return ok(undefined)
-    } catch (thrown) {
-      return err(this.failure('broken', (thrown as Error).message))
-    } finally {
-      body.destroy()
-    }
+      const take = (bytes: Buffer): void => {
+        const passed = this.stopped ? ok(undefined) : this.take(splitter.push(bytes), sink)
+        if (passed.isErr() || this.guard.isDone || this.stopped) finish(passed)
+      }
+      body.on('data', take)
+      body.on('end', () => finish(ok(undefined)))
+      body.on('error', cause => finish(err(this.failure('broken', cause.message))))
+      body.on('close', () => finish(ok(undefined)))
+    })
   }
 
   private take (events: Buffer[] | undefined, sink: Sink): Result<void, EngineFailure> {
--- a/src/peer/listener.ts
+++ b/src/peer/listener.ts
@@ -27,7 +27,8 @@
     this.server = createServer(connectNodeAdapter({
       routes: router => router.service(Peer, handlers),
       interceptors: [authenticate],
-      readMaxBytes: GREATEST_MESSAGE_BYTES
+      readMaxBytes: GREATEST_MESSAGE_BYTES,
+      acceptCompression: []
     }))
     this.server.on('session', session => {
       this.sessions.add(session)
--- a/src/peer/peers.ts
+++ b/src/peer/peers.ts
@@ -3,6 +3,7 @@
 import { ResultAsync } from 'neverthrow'
 import type { PeerFailure } from './failure.js'
 import { toPeerFailure } from './failure.js'
+import { type Body, type InBody, Link } from './link.js'
 import { Peer } from './peer_pb.js'
 
 /** A member that can be called. */
@@ -21,14 +22,15 @@
 const PING_INTERVAL_MS = 2_000
 const PING_TIMEOUT_MS = 3_000
 
-interface Link {
+interface Connection {
   readonly client: Client<typeof Peer>
+  readonly link: Link
   readonly sessions: Http2SessionManager
 }
 
 /** Connections to the other members, one each, opened when first used. */
 export class Peers {
-  private readonly links = new Map<string, Link>()
+  private readonly connections = new Map<string, Connection>()
 
   /** @param key - the key which all hosts share */
   constructor (private readonly key: string) {}
@@ -38,12 +40,27 @@
    * @returns the client that calls it
    */
   client (callee: Callee): Client<typeof Peer> {
-    let link = this.links.get(callee.id)
-    if (link === undefined) {
-      link = this.open(callee)
-      this.links.set(callee.id, link)
-    }
-    return link.client
+    return this.connection(callee).client
+  }
+
+  /**
+   * @param callee - a member
+   * @returns the link that carries the frequent calls to it
+   */
+  link (callee: Callee): Link {
+    return this.connection(callee).link
+  }
+
+  /**
+   * Makes one frequent call with a deadline.
+   *
+   * @param callee - the member to call
+   * @param body - the request
+   * @param timeoutMs - the deadline, in milliseconds
+   * @returns the reply, or this layer's failure
+   */
+  ask (callee: Callee, body: Body, timeoutMs: number = CALL_TIMEOUT_MS): ResultAsync<InBody, PeerFailure> {
+    return ResultAsync.fromPromise(this.link(callee).call(body, timeoutMs), thrown => thrown as PeerFailure)
   }
 
   /**
@@ -69,10 +86,11 @@
    * @param present - the ids of the members that are there
    */
   retain (present: ReadonlyMap<string, unknown>): void {
-    for (const [id, link] of this.links) {
+    for (const [id, connection] of this.connections) {
       if (present.has(id)) continue
-      this.links.delete(id)
-      link.sessions.abort()
+      this.connections.delete(id)
+      connection.link.close()
+      connection.sessions.abort()
     }
   }
 
@@ -81,7 +99,16 @@
     this.retain(new Map())
   }
 
-  private open (callee: Callee): Link {
+  private connection (callee: Callee): Connection {
+    let connection = this.connections.get(callee.id)
+    if (connection === undefined) {
+      connection = this.open(callee)
+      this.connections.set(callee.id, connection)
+    }
+    return connection
+  }
+
+  private open (callee: Callee): Connection {
     const baseUrl = `http://${callee.peerAddress}`
     const sessions = new Http2SessionManager(baseUrl, {
       pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: false
@@ -90,7 +117,10 @@
       request.header.set(KEY_HEADER, this.key)
       return await next(request)
     }
-    const transport = createGrpcTransport({ baseUrl, sessionManager: sessions, interceptors: [authenticate] })
-    return { client: createClient(Peer, transport), sessions }
+    const transport = createGrpcTransport({
+      baseUrl, sessionManager: sessions, interceptors: [authenticate], acceptCompression: []
+    })
+    const client = createClient(Peer, transport)
+    return { client, link: new Link(callee.id, client), sessions }
   }
 }
