--- a/src/host/identity.ts
+++ b/src/host/identity.ts
@@ -26,11 +26,12 @@
    */
   renew (peerPort: number, callerPort: number): void {
     const { host, peer, listen } = this.settings
+    const announced = peer.announce ?? { ip: peer.ip, port: peerPort }
     this.present = {
       id: `${host}.${timeId(this.clock.now())}`,
       host,
       dataCentre: this.settings.data_centre,
-      peerAddress: `${peer.ip}:${peerPort}`,
+      peerAddress: `${announced.ip}:${announced.port}`,
       callerAddress: `${listen.ip}:${callerPort}`,
       phase: Phase.live
     }
--- a/src/host/roles.ts
+++ b/src/host/roles.ts
@@ -57,7 +57,7 @@
     const view = (): View => this.members.view
     this.identity = new Identity(settings, clock)
     this.ids = new ResponseIds(peerKey)
-    this.peers = new Peers(peerKey)
+    this.peers = new Peers(peerKey, settings.peer.ip)
     this.metrics = openMetrics(settings)
     this.configurations = new Configurations(new Journal<Changes>(platform.table, 'config'), clock, log)
     this.members = new Members({
--- a/src/peer/peers.ts
+++ b/src/peer/peers.ts
@@ -1,3 +1,4 @@
+import type { ClientSessionOptions } from 'node:http2'
 import { type Client, createClient, type Interceptor } from '@connectrpc/connect'
 import { createGrpcTransport, Http2SessionManager } from '@connectrpc/connect-node'
 import { ResultAsync } from 'neverthrow'
@@ -32,8 +33,11 @@
 export class Peers {
   private readonly connections = new Map<string, Connection>()
 
-  /** @param key - the key which all hosts share */
-  constructor (private readonly key: string) {}
+  /**
+   * @param key - the key which all hosts share
+   * @param ip - the IP number that calls come from
+   */
+  constructor (private readonly key: string, private readonly ip: string) {}
 
   /**
    * @param callee - a member
@@ -112,7 +116,7 @@
     const baseUrl = `http://${callee.peerAddress}`
     const sessions = new Http2SessionManager(baseUrl, {
       pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: false
-    })
+    }, { localAddress: this.ip } as ClientSessionOptions)
     const authenticate: Interceptor = next => async request => {
       request.header.set(KEY_HEADER, this.key)
       return await next(request)
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -59,7 +59,9 @@
   /** Where other hosts connect. */
   peer: listenerSchema.extend({
     /** File that holds the key which all hosts share. */
-    key_file: z.string().min(1)
+    key_file: z.string().min(1),
+    /** Where other hosts are told to connect, if that is not where this process listens. */
+    announce: listenerSchema.optional()
   }),
   platform: platformSchema,
   limits: limitsSchema.prefault({}),
--- a/standins/deployment.ts
+++ b/standins/deployment.ts
@@ -2,7 +2,8 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { request } from 'undici'
-import { configurationOf, type EngineSpec, settingsOf, type Spec } from './documents.js'
+import { Cut } from './cuts.js'
+import { configurationOf, type EngineSpec, PEER_PORT, settingsOf, type Spec } from './documents.js'
 import { Child } from './process.js'
 
 /** A process with the port that it listens at. */
@@ -34,6 +35,7 @@
   readonly engines: Node[] = []
   readonly workers: Node[] = []
   platform: Node | undefined
+  private readonly cuts: Cut[] = []
   private readonly folder = mkdtempSync(join(tmpdir(), 'marigoldvalve-'))
 
   /** @param spec - what it consists of */
@@ -61,8 +63,10 @@
     const file = join(this.folder, `${name}.toml`)
     const platform = `http://127.0.0.1:${this.platform!.port}`
     const dataCentre = DATA_CENTRES[slot % DATA_CENTRES.length]!
+    const peerIp = this.spec.cuttable === true ? this.peerIp(slot) : '127.0.0.1'
+    const announced = this.spec.cuttable === true ? await this.openCut(slot) : undefined
     const further = this.spec.settings
-    writeFileSync(file, settingsOf({ name, dataCentre, folder: this.folder, platform, further }))
+    writeFileSync(file, settingsOf({ name, dataCentre, folder: this.folder, platform, further, peerIp, announced }))
     const { child, port } = await Child.start(PROGRAM, ['serve', '--settings', file], hostPort)
     const node = { name, child, port }
     this.hosts[slot] = node
@@ -145,13 +149,45 @@
     return sums
   }
 
+  /**
+   * Cuts calls from one host to another; those the other way go on.
+   *
+   * @param from - index of the calling host
+   * @param to - index of the called host
+   */
+  cut (from: number, to: number): void {
+    this.cuts[to]!.block(this.peerIp(from))
+  }
+
+  /**
+   * Ends a cut.
+   *
+   * @param from - index of the calling host
+   * @param to - index of the called host
+   */
+  heal (from: number, to: number): void {
+    this.cuts[to]!.unblock(this.peerIp(from))
+  }
+
   /** Ends all processes that this deployment started. */
   async stop (): Promise<void> {
     const nodes = [...this.hosts, ...this.engines, ...this.workers, this.platform]
     await Promise.all(nodes.map(async node => { await node?.child.kill() }))
+    for (const cut of this.cuts) cut.close()
     rmSync(this.folder, { recursive: true, force: true })
   }
 
+  private peerIp (slot: number): string {
+    return `127.0.1.${slot + 1}`
+  }
+
+  private async openCut (slot: number): Promise<number> {
+    const cut = new Cut()
+    this.cuts[slot] = cut
+    cut.aim(this.peerIp(slot), PEER_PORT)
+    return await cut.listen()
+  }
+
   private async standin (name: string, args: readonly string[]): Promise<Node> {
     return { name, ...await Child.start(STANDIN, args, standinPort) }
   }
--- a/standins/documents.ts
+++ b/standins/documents.ts
@@ -23,6 +23,8 @@
   readonly classes: string
   /** Further settings of each host, in TOML; `limits` and `log` only. */
   readonly settings?: string
+  /** Whether hosts can be cut off from each other; each then has an IP number of its own. */
+  readonly cuttable?: boolean
 }
 
 /** A stand-in that a configuration names. */
@@ -40,8 +42,15 @@
   /** Base address of the platform. */
   readonly platform: string
   readonly further: string | undefined
+  /** The IP number for other hosts. */
+  readonly peerIp: string
+  /** The port that other hosts are told, if it is not the one listened at. */
+  readonly announced: number | undefined
 }
 
+/** The port that hosts listen at for others when they have an IP number of their own. */
+export const PEER_PORT = 7_946
+
 /** The key that an organisation's callers send in a deployment. */
 export function callerKeyOf (organisation: string): string {
   return `key-of-${organisation}`
@@ -61,9 +70,10 @@
 port = 0
 
 [peer]
-ip = "127.0.0.1"
-port = 0
+ip = "${host.peerIp}"
+port = ${host.announced === undefined ? 0 : PEER_PORT}
 key_file = "${join(host.folder, 'peer.key')}"
+${host.announced === undefined ? '' : `announce = { ip = "127.0.0.1", port = ${host.announced} }`}
 
 [platform]
 table = "${host.platform}"
--- /dev/null
+++ b/tools/faults.ts
@@ -0,0 +1,93 @@
+import type { Deployment } from '../standins/deployment.js'
+
+/** Brings a fault about, and ends it if it is one that ends. */
+export type Fault = (deployment: Deployment) => Promise<void>
+
+const FREEZE_MS = 7_000
+const SHORT_FREEZE_MS = 1_500
+const CUT_MS = 8_000
+const OUTAGE_MS = 6_000
+
+function pause (ms: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms))
+}
+
+async function kill (deployment: Deployment, host: number): Promise<void> {
+  await deployment.hosts[host]!.child.kill()
+}
+
+async function freeze (deployment: Deployment, host: number, ms: number): Promise<void> {
+  deployment.hosts[host]!.child.signal('SIGSTOP')
+  await pause(ms)
+  deployment.hosts[host]!.child.signal('SIGCONT')
+}
+
+async function cut (deployment: Deployment, a: number, b: number, isBothWays: boolean): Promise<void> {
+  deployment.cut(a, b)
+  if (isBothWays) deployment.cut(b, a)
+  await pause(CUT_MS)
+  deployment.heal(a, b)
+  if (isBothWays) deployment.heal(b, a)
+}
+
+async function isolate (deployment: Deployment, host: number): Promise<void> {
+  const others = deployment.hosts.map((_, i) => i).filter(i => i !== host)
+  for (const other of others) {
+    deployment.cut(host, other)
+    deployment.cut(other, host)
+  }
+  await pause(CUT_MS)
+  for (const other of others) {
+    deployment.heal(host, other)
+    deployment.heal(other, host)
+  }
+}
+
+async function platform (deployment: Deployment, faults: object, calm: object): Promise<void> {
+  await deployment.control(deployment.platform!, faults)
+  await pause(OUTAGE_MS)
+  await deployment.control(deployment.platform!, calm)
+}
+
+const outage = async (deployment: Deployment): Promise<void> =>
+  await platform(deployment, { down: true }, { down: false })
+
+/** The faults of the matrix, by name. */
+export const FAULTS: Readonly<Record<string, Fault>> = {
+  none: async () => undefined,
+  kill: async deployment => await kill(deployment, 1),
+  'kill two': async deployment => {
+    await Promise.all([kill(deployment, 1), kill(deployment, 3)])
+  },
+  freeze: async deployment => await freeze(deployment, 1, FREEZE_MS),
+  'short freeze': async deployment => await freeze(deployment, 2, SHORT_FREEZE_MS),
+  cut: async deployment => await cut(deployment, 0, 1, true),
+  'one-way cut': async deployment => await cut(deployment, 0, 1, false),
+  isolate: async deployment => await isolate(deployment, 2),
+  'table outage': outage,
+  'slow table': async deployment => await platform(deployment, { delayMs: 400 }, { delayMs: 0 }),
+  'lost answers': async deployment => await platform(deployment, { loseEvery: 2 }, { loseEvery: 0 }),
+  'kill in a table outage': async deployment => {
+    await Promise.all([outage(deployment), kill(deployment, 1)])
+  },
+  'freeze in a table outage': async deployment => {
+    await Promise.all([outage(deployment), freeze(deployment, 1, FREEZE_MS)])
+  },
+  'kill and cut': async deployment => {
+    await Promise.all([cut(deployment, 0, 2, true), kill(deployment, 1)])
+  },
+  'engine dies': async deployment => { await deployment.engines[0]!.child.kill() },
+  'engine drops streams': async deployment => {
+    await deployment.control(deployment.engines[0]!, { dropEvery: 15, reorder: true, double: true })
+  },
+  'engine swaps answers': async deployment => {
+    await deployment.control(deployment.engines[0]!, { swap: true })
+  },
+  'worker drops answers': async deployment => {
+    await deployment.control(deployment.workers[0]!, { dropAnswers: true })
+  },
+  'drain one': async deployment => {
+    deployment.hosts[1]!.child.signal('SIGTERM')
+    await deployment.hosts[1]!.child.wait()
+  }
+}
