--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -1,7 +1,15 @@
-/** A source of the present time. Only code at the edge reads it; decisions take the time as an argument. */
+import { sleep } from './time.js'
+
+/** A source of time. Only code at the edge uses it; decisions take the present time as an argument. */
 export interface Clock {
   /** @returns the present time, in milliseconds since the epoch */
   now (): number
+
+  /**
+   * @param ms - time to wait, in milliseconds
+   * @returns a promise that resolves after the wait
+   */
+  sleep (ms: number): Promise<void>
 }
 
 /** The machine's own clock. */
@@ -9,4 +17,8 @@
   now (): number {
     return Date.now()
   }
+
+  sleep (ms: number): Promise<void> {
+    return sleep(ms)
+  }
 }
--- a/src/claim/claims.ts
+++ b/src/claim/claims.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from 'neverthrow'
-import { digest, Failure, SECOND_MS, sleep } from '../base/index.js'
+import { type Clock, digest, Failure, SECOND_MS } from '../base/index.js'
 import { Condition, type Objects, type PlatformFailure, type Row, type Table } from '../platform/index.js'
 import { type Claim, ClaimPhase, type Held, type KeptAnswer } from './claim.js'
 
@@ -27,9 +27,13 @@
    * @param table - holds the claims
    * @param objects - holds long answers
    * @param retentionMs - how long a claim is kept after its last change, in milliseconds
+   * @param clock - waits between lookups
    */
   constructor (
-    private readonly table: Table, private readonly objects: Objects, private readonly retentionMs: number
+    private readonly table: Table,
+    private readonly objects: Objects,
+    private readonly retentionMs: number,
+    private readonly clock: Clock
   ) {}
 
   /**
@@ -101,7 +105,7 @@
         if (version === wanted.version && isSame(claim, wanted.claim)) return ok(wanted)
         if (version >= wanted.version || cause.code === 'conflict') return err(failure('raced', cause))
       }
-      await sleep(LOOKUP_PAUSE_MS * 2 ** lookup)
+      await this.clock.sleep(LOOKUP_PAUSE_MS * 2 ** lookup)
     }
     return err(failure('unknown', cause))
   }
--- a/src/entry/calls.ts
+++ b/src/entry/calls.ts
@@ -66,11 +66,12 @@
     if (isRepeatable(service, { method: c.req.method, path })) return await this.context.repeater.run(pool, forward)
     const organisation = c.get('organisation')
     const { desk } = this.context
+    const arrived = desk.clock.now()
     const key = sent === undefined
-      ? mintKey(desk.self(), desk.clock.now())
+      ? mintKey(desk.self(), arrived)
       : callerKey(organisation, sent)
     const fingerprint = digest(`${c.req.method} ${service.name}${path}${url.search}\n${body.toString('base64')}`)
-    return await this.context.once.run(pool, { key, isMinted: sent === undefined, fingerprint, forward })
+    return await this.context.once.run(pool, { key, isMinted: sent === undefined, fingerprint, forward, arrived })
   }
 
   private forward (c: Call<Env>, service: Service, path: string, body: Buffer): Forward {
--- a/src/entry/delivery.ts
+++ b/src/entry/delivery.ts
@@ -1,7 +1,6 @@
 import type { Forecast } from '../admission/index.js'
-import { sleep } from '../base/index.js'
 import { type Ending, ending, Outcome, type Part } from '../owner/index.js'
-import { mintedBy, type Answer as Ruling, type Place, type Step } from '../record/index.js'
+import { BAR_MS, isClosed, mintedBy, type Answer as Ruling, type Place, type Step } from '../record/index.js'
 import type { Desk, Order } from './desk.js'
 import { candidates, serversFor } from './placement.js'
 
@@ -10,10 +9,13 @@
 /** How long the home may be out of reach, in milliseconds. */
 const HOME_PATIENCE_MS = 6_000
 const HOME_PAUSE_MS = 250
+/** How often a key is barred anew when that took too long. */
+const GREATEST_BARS = 3
 /** How often an answer is attached to anew before it counts as lost. */
 const ATTACHES = 6
 const ATTACH_PAUSE_MS = 400
-const LEAST_RETRY_AFTER_MS = 1_000
+/** A request that comes back sooner counts as sent before it was told "not run". */
+const LEAST_RETRY_AFTER_MS = BAR_MS + 1_000
 
 /** Endings after which another server is of no use. */
 const FINAL_REASONS: ReadonlySet<string> = new Set(['invalid', 'mismatch'])
@@ -62,7 +64,7 @@
       const next = yield * this.submit(server)
       if (next.next === 'done') return
       if (MOVING_REASONS.has(next.reason) && moves++ < GREATEST_MOVES) {
-        await sleep(MOVE_PAUSE_MS)
+        await this.desk.clock.sleep(MOVE_PAUSE_MS)
         continue
       }
       tried.add(server)
@@ -82,7 +84,7 @@
   /** Opens an attempt at the home. Returns the ruling if it is anything but `done`. */
   private async open (): Promise<Ruling | undefined> {
     const { key, draft } = this.order
-    const ruling = await this.ask({ step: 'open', key, fingerprint: draft.fingerprint })
+    const ruling = await this.ask({ step: 'open', key, fingerprint: draft.fingerprint, arrived: this.order.arrived })
     if (ruling.ruling !== 'done') return ruling
     this.attempt = ruling.record.opened
     return undefined
@@ -98,7 +100,7 @@
     for (;;) {
       const ruling = await this.desk.homes.take(this.homeId(), step)
       if (ruling.ruling !== 'unavailable' || this.desk.clock.now() >= deadline) return ruling
-      await sleep(HOME_PAUSE_MS)
+      await this.desk.clock.sleep(HOME_PAUSE_MS)
     }
   }
 
@@ -148,9 +150,9 @@
         yield part
       }
     } catch {
-      return yield * this.ownerLost()
+      return yield * this.ownerLost(server)
     }
-    return yield * this.ownerLost()
+    return yield * this.ownerLost(server)
   }
 
   private async * ended (how: Ending): AsyncGenerator<Part, Next> {
@@ -165,8 +167,8 @@
     return { next: 'done' }
   }
 
-  /** The owner is gone. If it had dispatched the request, its answer is read on; else it is barred and given on. */
-  private async * ownerLost (): AsyncGenerator<Part, Next> {
+  /** The owner is gone. If it had dispatched the request, its answer is read on; else the attempt is dropped. */
+  private async * ownerLost (server: string): AsyncGenerator<Part, Next> {
     if (this.order.signal.aborted) {
       yield { part: 'end', ending: ending(Outcome.unknown, 'caller-gone') }
       return { next: 'done' }
@@ -176,7 +178,8 @@
       return { next: 'done' }
     }
     const { key, draft } = this.order
-    const ruling = await this.ask({ step: 'bar', key, fingerprint: draft.fingerprint })
+    const place = { server, responseId: '', attempt: this.attempt }
+    const ruling = await this.ask({ step: 'drop', key, fingerprint: draft.fingerprint, place })
     if (ruling.ruling === 'done') {
       return { next: 'again', retryAfterMs: LEAST_RETRY_AFTER_MS, reason: 'barred' }
     }
@@ -185,17 +188,28 @@
   }
 
   private async * refuse (reason: string, retryAfterMs: number): AsyncGenerator<Part> {
-    const { key, draft } = this.order
-    const ruling = await this.ask({ step: 'bar', key, fingerprint: draft.fingerprint })
+    const ruling = await this.bar()
     if (ruling.ruling === 'done') yield { part: 'end', ending: ending(Outcome.notRun, reason, retryAfterMs) }
     else yield * this.ruled(ruling)
   }
 
+  /** Bars the key, again if that took too long to cover what was sent meanwhile. */
+  private async bar (): Promise<Ruling> {
+    const { key, draft, isMinted } = this.order
+    for (let tries = 0; tries < GREATEST_BARS; tries++) {
+      const ruling = await this.ask({ step: 'bar', key, fingerprint: draft.fingerprint })
+      if (ruling.ruling !== 'done' || isMinted || isClosed(ruling.record, this.desk.clock.now())) return ruling
+    }
+    return { ruling: 'unavailable', reason: 'barring took too long' }
+  }
+
   private async * ruled (ruling: Ruling): AsyncGenerator<Part> {
     if (ruling.ruling === 'dispatched') {
       yield * this.attach(ruling.place)
     } else if (ruling.ruling === 'mismatch') {
       yield { part: 'end', ending: ending(Outcome.notRun, 'mismatch') }
+    } else if (ruling.ruling === 'barred') {
+      yield { part: 'end', ending: ending(Outcome.notRun, 'barred', LEAST_RETRY_AFTER_MS) }
     } else {
       yield { part: 'end', ending: ending(Outcome.unknown, ruling.ruling, LEAST_RETRY_AFTER_MS) }
     }
@@ -216,7 +230,7 @@
           if (part.part === 'end') return
         }
       } catch {
-        await sleep(ATTACH_PAUSE_MS)
+        await this.desk.clock.sleep(ATTACH_PAUSE_MS)
       }
     }
     yield { part: 'end', ending: ending(Outcome.unknown, 'owner-lost', LEAST_RETRY_AFTER_MS) }
--- a/src/host/handlers.ts
+++ b/src/host/handlers.ts
@@ -45,7 +45,7 @@
     switch (request.case) {
       case 'step': return this.step(request.value).then(value => ({ case: 'stepReply', value }))
       case 'copy': return this.copy(request.value).then(value => ({ case: 'copyReply', value }))
-      case 'recall': return Promise.resolve({ case: 'recallReply', value: this.recall(request.value) })
+      case 'recall': return this.recall(request.value).then(value => ({ case: 'recallReply', value }))
       case 'offer': return Promise.resolve({ case: 'offerReply', value: this.offer(request.value) })
       case 'cancel': return this.cancel(request.value).then(() => ({ case: 'cancelReply', value: {} }))
       default: return undefined
@@ -82,7 +82,7 @@
   private async copy (request: pb.CopyRequest): Promise<{ refused: boolean, record?: ReturnType<typeof toRecord> }> {
     if (request.record === undefined) throw new ConnectError('no record came', Code.InvalidArgument)
     await this.catchUp(request.memberRevision)
-    const kept = this.tools.home.keep(fromRecord(request.record), request.from)
+    const kept = this.tools.home.keep(fromRecord(request.record), request.from, this.tools.clock.now())
     return kept === undefined ? { refused: true } : { refused: false, record: toRecord(kept) }
   }
 
@@ -91,9 +91,12 @@
     return {}
   }
 
-  private recall (request: pb.RecallRequest): { record?: ReturnType<typeof toRecord> } {
+  private async recall (request: pb.RecallRequest):
+  Promise<{ refused: boolean, record?: ReturnType<typeof toRecord> }> {
+    await this.catchUp(request.memberRevision)
+    if (this.tools.members.revision < request.memberRevision) return { refused: true }
     const record = this.tools.home.find(request.key)
-    return record === undefined ? {} : { record: toRecord(record) }
+    return record === undefined ? { refused: false } : { refused: false, record: toRecord(record) }
   }
 
   private offer (request: pb.OfferRequest): { owned: boolean, accepts: boolean, waitMs: number, yields: boolean } {
--- a/src/host/mates.ts
+++ b/src/host/mates.ts
@@ -31,6 +31,10 @@
   return new RecordFailure('RecordFailure', { code: 'unreachable', cause }, cause.message)
 }
 
+function refusal (member: string): RecordFailure {
+  return new RecordFailure('RecordFailure', { code: 'refused' }, `${member} has another view`)
+}
+
 function absent (member: string): PeerFailure {
   return new PeerFailure('PeerFailure', { code: 'unreachable' }, `member ${member} is not there`)
 }
@@ -66,7 +70,7 @@
       .andThen((reply): ResultAsync<KeyRecord, RecordFailure> => {
         const kept = reply.case === 'copyReply' && !reply.value.refused ? reply.value.record : undefined
         if (kept !== undefined) return okAsync(fromRecord(kept))
-        return errAsync(new RecordFailure('RecordFailure', { code: 'refused' }, `${member} knows another home`))
+        return errAsync(refusal(member))
       })
   }
 
@@ -82,10 +86,13 @@
   recall (member: string, key: string): ResultAsync<KeyRecord | undefined, RecordFailure> {
     const callee = this.reach.view().members.get(member)
     if (callee === undefined) return errAsync(recordFailure(absent(member)))
-    return this.reach.peers.ask(callee, { case: 'recall', value: { key } }).map(reply => {
-      const record = reply.case === 'recallReply' ? reply.value.record : undefined
-      return record === undefined ? undefined : fromRecord(record)
-    }).mapErr(recordFailure)
+    const value = { key, memberRevision: this.reach.view().revision }
+    return this.reach.peers.ask(callee, { case: 'recall', value })
+      .mapErr(recordFailure)
+      .andThen((reply): ResultAsync<KeyRecord | undefined, RecordFailure> => {
+        if (reply.case !== 'recallReply' || reply.value.refused) return errAsync(refusal(member))
+        return okAsync(reply.value.record === undefined ? undefined : fromRecord(reply.value.record))
+      })
   }
 }
 
--- a/src/host/members.ts
+++ b/src/host/members.ts
@@ -1,5 +1,5 @@
 import type Logger from 'bunyan'
-import { type Clock, sleep, timeId, toError } from '../base/index.js'
+import { type Clock, timeId, toError } from '../base/index.js'
 import type { Journal, Stamped } from '../journal/index.js'
 import { type Entry, type Member, type Testimony, View, Watch } from '../member/index.js'
 import type { Log } from './log.js'
@@ -81,7 +81,7 @@
           return true
         }
       }
-      await sleep(APPEND_PAUSE_MS * (tries + 1))
+      await this.tools.clock.sleep(APPEND_PAUSE_MS * (tries + 1))
     }
     this.tools.log.warn({ step: draft.step }, 'could not append to the membership log')
     return false
--- a/src/host/roles.ts
+++ b/src/host/roles.ts
@@ -71,7 +71,7 @@
       self: this.self, peers: this.peers, view, clock, home: () => this.home, owner: () => this.owner
     }
     this.home = new Home(
-      { self: this.self, view, isIsolated: now => this.members.watch.isIsolated(now) },
+      { self: this.self, view, isIsolated: now => this.members.watch.isIsolated(now), now: () => clock.now() },
       new ReachedCopies(this.reach), retention)
     this.answers = new Answers(answerBytes, retention)
     this.owner = this.openOwner()
@@ -106,7 +106,7 @@
         configuration: () => this.configurations.configuration
       },
       ids: this.ids,
-      once: new Once(services, new Claims(platform.table, platform.objects, retention), this.self, clock),
+      once: new Once(services, new Claims(platform.table, platform.objects, retention, clock), this.self, clock),
       repeater: new Repeater(services, new RetryBudget(), clock),
       pool: name => this.pools.of(name),
       metrics: this.metrics,
--- a/src/host/tenure.ts
+++ b/src/host/tenure.ts
@@ -1,5 +1,5 @@
 import type Logger from 'bunyan'
-import { type Clock, sleep } from '../base/index.js'
+import { type Clock } from '../base/index.js'
 import type { View } from '../member/index.js'
 import type { Roles } from './roles.js'
 
@@ -82,11 +82,11 @@
     this.leaving = true
     const stopAt = this.clock.now() + patienceMs
     const { id } = this.roles.identity.member
-    await Promise.race([this.roles.members.append({ step: 'leave', member: id }), sleep(LEAVE_TIMEOUT_MS)])
-    await sleep(SPREAD_MS)
+    await Promise.race([this.roles.members.append({ step: 'leave', member: id }), this.clock.sleep(LEAVE_TIMEOUT_MS)])
+    await this.clock.sleep(SPREAD_MS)
     this.open = false
     this.roles.owner.drain()
-    while (load() > 0 && this.clock.now() < stopAt) await sleep(DRAIN_PAUSE_MS)
+    while (load() > 0 && this.clock.now() < stopAt) await this.clock.sleep(DRAIN_PAUSE_MS)
     await this.rebalancing
     await this.roles.members.append({ step: 'gone', member: id })
   }
@@ -97,7 +97,7 @@
       const isRead = await configurations.poll()
       if (isRead && await members.append({ step: 'join', member: identity.member })) break
       this.log.error('the table does not answer; not joined yet')
-      await sleep(JOIN_PAUSE_MS)
+      await this.clock.sleep(JOIN_PAUSE_MS)
     }
     this.joined = !this.leaving
     this.log.info({ member: identity.member.id }, 'joined')
--- a/src/host/wire.ts
+++ b/src/host/wire.ts
@@ -24,7 +24,8 @@
   open: pb.StepKind.OPEN,
   begin: pb.StepKind.BEGIN,
   bar: pb.StepKind.BAR,
-  withdraw: pb.StepKind.WITHDRAW
+  withdraw: pb.StepKind.WITHDRAW,
+  drop: pb.StepKind.DROP
 } as const
 
 type Ruled = keyof typeof RULINGS
@@ -83,31 +84,34 @@
 
 /** @returns the record that a message holds */
 export function fromRecord (message: pb.KeyRecord): KeyRecord {
-  const { key, fingerprint, opened, barred, withdrawn, at } = message
+  const { key, fingerprint, opened, barred, closed, withdrawn, at } = message
   const place = message.place === undefined ? undefined : fromPlace(message.place)
-  return { key, fingerprint, opened, barred, place, withdrawn, at }
+  return { key, fingerprint, opened, barred, closed, place, withdrawn, at }
 }
 
 /** @returns the message for a step */
 export function toStep (step: Step, memberRevision: number): MessageInitShape<typeof pb.StepRequestSchema> {
   const { key, fingerprint } = step
   const place = 'place' in step ? step.place : undefined
-  return { kind: STEPS[step.step], key, fingerprint, place, memberRevision }
+  const arrived = 'arrived' in step ? step.arrived : 0
+  return { kind: STEPS[step.step], key, fingerprint, place, memberRevision, arrived }
 }
 
 /** @returns the step that a message holds, or undefined if it holds none */
 export function fromStep (message: pb.StepRequest): Step | undefined {
-  const { key, fingerprint, kind, place } = message
+  const { key, fingerprint, kind, place, arrived } = message
   const step = keyOf<Stepped>(STEPS, kind, 'open')
-  if (step === 'open' || step === 'bar') return { step, key, fingerprint }
+  if (step === 'open') return { step, key, fingerprint, arrived }
+  if (step === 'bar') return { step, key, fingerprint }
   return place === undefined ? undefined : { step, key, fingerprint, place: fromPlace(place) }
 }
 
 /** @returns the message for a ruling */
 export function toRuling (answer: Answer): MessageInitShape<typeof pb.StepResponseSchema> {
   const attempt = 'record' in answer ? answer.record.opened : 0
+  const closed = 'record' in answer ? answer.record.closed : 0
   const place = answer.ruling === 'dispatched' ? answer.place : undefined
-  return { ruling: RULINGS[answer.ruling], attempt, place }
+  return { ruling: RULINGS[answer.ruling], attempt, place, closed }
 }
 
 /**
@@ -119,7 +123,14 @@
   const ruling = keyOf<Ruled>(RULINGS, message.ruling, 'unavailable')
   const place = message.place === undefined ? undefined : fromPlace(message.place)
   const record: KeyRecord = {
-    key: step.key, fingerprint: step.fingerprint, opened: message.attempt, barred: 0, place, withdrawn: [], at: 0
+    key: step.key,
+    fingerprint: step.fingerprint,
+    opened: message.attempt,
+    barred: 0,
+    closed: message.closed,
+    place,
+    withdrawn: [],
+    at: 0
   }
   if (ruling === 'lost') return { ruling }
   if (ruling === 'unavailable') return { ruling, reason: 'the home can not rule now' }
--- a/src/member/view.ts
+++ b/src/member/view.ts
@@ -6,8 +6,12 @@
 /** How many members hold the record of a key. */
 export const HOLDERS = 2
 
-/** How long records take to reach their new holders after a change, in milliseconds. */
-export const SETTLE_MS = 10_000
+/**
+ * How long records take to reach their new holders after a change, in
+ * milliseconds: until a frozen holder is found out, and a sound one has learned
+ * of the change and handed its records over.
+ */
+export const SETTLE_MS = 15_000
 
 /** A ranking that was in force until a change. */
 interface Past {
@@ -15,11 +19,11 @@
   readonly ranking: Ranking
 }
 
-/** A member found dead, and the ranking that counted on it. */
+/** A member found dead, and the rankings that may still have counted on it. */
 interface Loss {
   readonly at: number
   readonly member: string
-  readonly before: Ranking
+  readonly before: readonly Ranking[]
 }
 
 interface State {
@@ -72,7 +76,8 @@
       const member = members.get(entry.member)
       if (member !== undefined) members.set(member.id, { ...member, phase: Phase.leaving })
     } else if (members.delete(entry.member) && entry.step === 'fail') {
-      losses = [...losses, { at: entry.at, member: entry.member, before: this.ranking }]
+      const recent = this.past.filter(past => past.until > entry.at - SETTLE_MS).map(past => past.ranking)
+      losses = [...losses, { at: entry.at, member: entry.member, before: [this.ranking, ...recent] }]
     }
     return new View({
       revision,
@@ -110,14 +115,15 @@
    * record reached another. An absent record then proves nothing.
    *
    * @param key - a request's key
+   * @param born - when the key was made, if that is known, in milliseconds since the epoch
    * @returns whether the record may be lost
    */
-  mayBeLost (key: string): boolean {
-    return this.losses.some(loss => {
-      const holders = loss.before.top(key, HOLDERS)
-      if (!holders.includes(loss.member)) return false
-      return holders.every(holder => this.diedNear(holder, loss.at))
-    })
+  mayBeLost (key: string, born: number | undefined): boolean {
+    const losses = this.losses.filter(loss => born === undefined || born <= loss.at + SETTLE_MS)
+    return losses.some(loss => loss.before.some(ranking => {
+      const holders = ranking.top(key, HOLDERS)
+      return holders.includes(loss.member) && holders.every(holder => this.diedNear(holder, loss.at))
+    }))
   }
 
   /**
--- a/src/owner/execution.ts
+++ b/src/owner/execution.ts
@@ -1,4 +1,4 @@
-import { type Failure, sleep } from '../base/index.js'
+import { type Failure } from '../base/index.js'
 import type { BackendServer } from '../config/index.js'
 import type { EngineFailure, StreamEvent } from '../engine/index.js'
 import type { Place, Answer as Ruling, Step } from '../record/index.js'
@@ -62,7 +62,7 @@
         await this.withdraw(work, place)
         return ruling
       }
-      await sleep(BEGIN_PAUSE_MS)
+      await this.tools.clock.sleep(BEGIN_PAUSE_MS)
     }
   }
 
@@ -74,7 +74,7 @@
   private async execute (work: Work, place: Place): Promise<Ending> {
     const source = { address: this.server.address, responseId: work.job.id }
     work.stage = Stage.running
-    work.reader = new Reader(this.tools.client, source, -1)
+    work.reader = new Reader(this.tools.client, source, -1, this.tools.clock)
     this.hooks.health.sent(this.now())
     const body = await this.tools.client.create(this.server.address, withId(work))
     if (body.isErr() && (body.error.code === 'refused' || body.error.code === 'invalid')) {
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -152,7 +152,7 @@
   }
 
   private async readFrom (address: string, responseId: string, answer: Answer): Promise<void> {
-    const reader = new Reader(this.tools.client, { address, responseId }, -1)
+    const reader = new Reader(this.tools.client, { address, responseId }, -1, this.tools.clock)
     const body = await this.tools.client.resume(address, responseId, -1)
     answer.begin()
     const result = await reader.run(body, event => answer.append(event.bytes))
--- a/src/owner/reader.ts
+++ b/src/owner/reader.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from 'neverthrow'
-import { sleep } from '../base/index.js'
+import type { Clock } from '../base/index.js'
 import { type Body, type EngineClient, EngineFailure, Guard, readEvent, Splitter, type StreamEvent } from '../engine/index.js'
 
 /** Longest event taken from an engine, in bytes. */
@@ -29,8 +29,11 @@
    * @param client - calls the engine
    * @param source - the engine and the response
    * @param after - the last sequence number already had; -1 for none
+   * @param clock - waits before reading on
    */
-  constructor (private readonly client: EngineClient, private readonly source: Source, after: number) {
+  constructor (
+    private readonly client: EngineClient, private readonly source: Source, after: number, private readonly clock: Clock
+  ) {
     this.guard = new Guard(source.responseId, after)
   }
 
@@ -54,7 +57,7 @@
       const failure = read.isErr() ? read.error : this.failure('broken', 'the stream ended early')
       if (this.stopped || resumes === RESUMES || failure.code === 'absent') return err(failure)
       this.guard.rewind()
-      await sleep(RESUME_PAUSE_MS * 2 ** resumes)
+      await this.clock.sleep(RESUME_PAUSE_MS * 2 ** resumes)
       stream = await this.client.resume(this.source.address, this.source.responseId, this.guard.position)
     }
   }
--- a/src/record/home.ts
+++ b/src/record/home.ts
@@ -2,16 +2,17 @@
 import type { View } from '../member/index.js'
 import type { Copies, RecordFailure } from './copies.js'
 import { receive } from './copy.js'
-import { mintedBy } from './key.js'
+import { bornAt, mintedBy } from './key.js'
 import { Ledger } from './ledger.js'
 import { KeyLock } from './lock.js'
-import { bar, begin, type KeyRecord, open, type Place, type Ruling, withdraw } from './record.js'
+import { bar, begin, drop, type KeyRecord, open, type Place, type Ruling, withdraw } from './record.js'
 
 /** A step that an entry or owner asks of a key's home. */
 export type Step =
-  | { readonly step: 'open', readonly key: string, readonly fingerprint: string }
+  | { readonly step: 'open', readonly key: string, readonly fingerprint: string, readonly arrived: number }
   | { readonly step: 'begin', readonly key: string, readonly fingerprint: string, readonly place: Place }
   | { readonly step: 'bar', readonly key: string, readonly fingerprint: string }
+  | { readonly step: 'drop', readonly key: string, readonly fingerprint: string, readonly place: Place }
   | { readonly step: 'withdraw', readonly key: string, readonly fingerprint: string, readonly place: Place }
 
 /** The answer to a step. */
@@ -30,6 +31,8 @@
   view (): View
   /** Whether this host is likely cut off from most others. */
   isIsolated (now: number): boolean
+  /** The time after a call to another host, in milliseconds since the epoch. */
+  now (): number
 }
 
 const HANDOVER_RECORDS = 500
@@ -75,9 +78,11 @@
    *
    * @param record - the record
    * @param from - the member that says it is the home
-   * @returns what is then held, or undefined if the sender is not the home in this host's view
+   * @param now - the present time, in milliseconds since the epoch
+   * @returns what is then held, or undefined if this host is cut off or the sender is not the home in its view
    */
-  keep (record: KeyRecord, from: string): KeyRecord | undefined {
+  keep (record: KeyRecord, from: string, now: number): KeyRecord | undefined {
+    if (this.standing.isIsolated(now)) return undefined
     if (this.standing.view().holders(record.key)[0] !== from) return undefined
     const kept = receive(this.ledger.get(record.key), record)
     this.ledger.set(kept)
@@ -160,7 +165,7 @@
   private async rule (step: Step, now: number): Promise<Answer> {
     const before = await this.recall(step.key, now)
     if (before.isErr()) return { ruling: 'unavailable', reason: before.error.message }
-    if (before.value === undefined && this.standing.view().mayBeLost(step.key)) return { ruling: 'lost' }
+    if (before.value?.place === undefined && this.mayBeLost(step.key, now)) return { ruling: 'lost' }
     const ruling = apply(step, before.value, now)
     if (ruling.ruling !== 'done') return ruling
     if (step.step === 'open' || mintedBy(step.key) !== undefined) {
@@ -185,19 +190,28 @@
     if (this.standing.view().holders(step.key).join() !== holders.join()) {
       return { ruling: 'unavailable', reason: 'the view changed' }
     }
+    // This host may have been frozen during the call, and been replaced meanwhile.
+    const reason = this.unfit(step.key, this.standing.now())
+    if (reason !== undefined) return { ruling: 'unavailable', reason }
     this.ledger.set(record)
     return { ruling: 'done', record }
   }
 
+  /** A record without a dispatch proves nothing either: another holder may have known of one. */
+  private mayBeLost (key: string, now: number): boolean {
+    return mintedBy(key) === undefined && this.standing.view().mayBeLost(key, bornAt(key, now))
+  }
+
+  /** What is known of a key here and, shortly after a change of view, at those who held it before. */
   private async recall (key: string, now: number): Promise<Result<KeyRecord | undefined, RecordFailure>> {
-    const known = this.ledger.get(key)
-    if (known !== undefined || mintedBy(key) !== undefined) return ok(known)
+    let known = this.ledger.get(key)
+    if (known?.place !== undefined || mintedBy(key) !== undefined) return ok(known)
     for (const member of this.standing.view().formerHolders(key, now)) {
       const recalled = await this.copies.recall(member, key)
       if (recalled.isErr()) return err(recalled.error)
-      if (recalled.value !== undefined) return ok(recalled.value)
+      if (recalled.value !== undefined) known = receive(known, recalled.value)
     }
-    return ok(undefined)
+    return ok(known)
   }
 }
 
@@ -208,9 +222,10 @@
 
 function apply (step: Step, before: KeyRecord | undefined, now: number): Ruling {
   switch (step.step) {
-    case 'open': return open(before, step.key, step.fingerprint, now)
+    case 'open': return open(before, step.key, step.fingerprint, step.arrived, now)
     case 'begin': return begin(before, step.key, step.fingerprint, step.place, now)
     case 'bar': return bar(before, step.key, step.fingerprint, now)
+    case 'drop': return drop(before, step.key, step.fingerprint, step.place.attempt, now)
     case 'withdraw': {
       const record = before ?? begin(undefined, step.key, step.fingerprint, step.place, now).record
       return { ruling: 'done', record: withdraw(record, step.place.responseId, now) }
--- a/src/record/index.ts
+++ b/src/record/index.ts
@@ -1,8 +1,8 @@
 /** The record of each idempotency key: who may dispatch it, and where it was dispatched. */
 export {
-  bar, begin, CLOCK_SKEW_MS, type KeyRecord, merge, open, type Place, type Ruling, withdraw
+  BAR_MS, bar, begin, CLOCK_SKEW_MS, drop, isClosed, type KeyRecord, merge, open, type Place, type Ruling, withdraw
 } from './record.js'
-export { callerKey, mintedBy, mintKey } from './key.js'
+export { bornAt, callerKey, mintedBy, mintKey } from './key.js'
 export { receive } from './copy.js'
 export { Ledger } from './ledger.js'
 export { KeyLock } from './lock.js'
--- a/src/record/key.ts
+++ b/src/record/key.ts
@@ -1,4 +1,5 @@
 import { timeId } from '../base/index.js'
+import { CLOCK_SKEW_MS } from './record.js'
 
 const MINTED = /^~([^~]+)~/
 
@@ -22,6 +23,22 @@
   return MINTED.exec(key)?.[1]
 }
 
+const TIME_ID = /([0-9a-f]{8})-([0-9a-f]{4})-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}$/
+
+/**
+ * Tells when a key was made, if it ends in a UUID of version 7.
+ *
+ * @param key - a request's key
+ * @param now - the present time, in milliseconds since the epoch
+ * @returns the time in it, or undefined if there is none or it lies in the future
+ */
+export function bornAt (key: string, now: number): number | undefined {
+  const match = TIME_ID.exec(key)
+  if (match === null) return undefined
+  const born = parseInt(match[1]! + match[2]!, 16)
+  return born > now + CLOCK_SKEW_MS ? undefined : born - CLOCK_SKEW_MS
+}
+
 /**
  * Makes the key under which a caller's own key is recorded. The same key of
  * another organisation is another key.
--- a/src/record/record.ts
+++ b/src/record/record.ts
@@ -16,6 +16,8 @@
   readonly opened: number
   /** Attempts up to this one may never be dispatched. */
   readonly barred: number
+  /** Attempts that arrived at their entry up to this time may not be opened any more. */
+  readonly closed: number
   /** Set once dispatch was granted; then it stays unless withdrawn. */
   readonly place: Place | undefined
   /** Ids of the latest dispatches that were granted but certainly did not happen. */
@@ -35,13 +37,16 @@
   /** The key stands for another request. */
   | { readonly ruling: 'mismatch', readonly record: KeyRecord }
 
-/** How far clocks of two hosts may be apart, in milliseconds. */
-export const CLOCK_SKEW_MS = 5_000
+/** How far the clock of a host may be from the true time, in milliseconds. */
+export const CLOCK_SKEW_MS = 500
+
+/** After "not run" was said, a request sent again within this time counts as sent before it, in milliseconds. */
+export const BAR_MS = 2_000
 
 const WITHDRAWN_KEPT = 16
 
 function fresh (key: string, fingerprint: string, now: number): KeyRecord {
-  return { key, fingerprint, opened: 0, barred: 0, place: undefined, withdrawn: [], at: now }
+  return { key, fingerprint, opened: 0, barred: 0, closed: 0, place: undefined, withdrawn: [], at: now }
 }
 
 function mismatch (record: KeyRecord | undefined, fingerprint: string): Ruling | undefined {
@@ -55,14 +60,18 @@
  * @param before - the record, if there is one
  * @param key - the key
  * @param fingerprint - hash of the request's body
+ * @param arrived - when the attempt arrived at its entry, by that host's clock, in milliseconds since the epoch
  * @param now - the present time, in milliseconds since the epoch
- * @returns `done` with the attempt's number in `record.opened`, or where the request already is
+ * @returns `done` with the attempt's number in `record.opened`, or where the request already is, or `barred`
  */
-export function open (before: KeyRecord | undefined, key: string, fingerprint: string, now: number): Ruling {
+export function open (
+  before: KeyRecord | undefined, key: string, fingerprint: string, arrived: number, now: number
+): Ruling {
   const wrong = mismatch(before, fingerprint)
   if (wrong !== undefined) return wrong
   if (before?.place !== undefined) return { ruling: 'dispatched', record: before, place: before.place }
   const record = before ?? fresh(key, fingerprint, now)
+  if (arrived <= record.closed) return { ruling: 'barred', record }
   const opened = Math.max(now, record.opened + 1, record.barred + 1)
   return { ruling: 'done', record: { ...record, opened, at: now } }
 }
@@ -95,7 +104,7 @@
 }
 
 /**
- * Bars every attempt opened so far, so that "not run" may be said.
+ * Bars every attempt opened or sent so far, so that "not run" may be said.
  *
  * @param before - the record, if there is one
  * @param key - the key
@@ -108,8 +117,41 @@
   if (wrong !== undefined) return wrong
   const record = before ?? fresh(key, fingerprint, now)
   if (record.place !== undefined) return { ruling: 'dispatched', record, place: record.place }
-  const barred = Math.max(record.barred, record.opened, now + CLOCK_SKEW_MS)
-  return { ruling: 'done', record: { ...record, barred, at: now } }
+  const barred = Math.max(record.barred, record.opened, now + BAR_MS)
+  const closed = Math.max(record.closed, now + BAR_MS)
+  return { ruling: 'done', record: { ...record, barred, closed, at: now } }
+}
+
+/**
+ * Tells whether "not run" may be said now. A bar that took too long, say
+ * because a host was frozen, no longer covers requests sent meanwhile.
+ *
+ * @param record - the record as barred
+ * @param now - the present time where it is said, in milliseconds since the epoch
+ * @returns whether the bar covers every attempt sent until now
+ */
+export function isClosed (record: KeyRecord, now: number): boolean {
+  return now + CLOCK_SKEW_MS <= record.closed
+}
+
+/**
+ * Gives up one attempt, so that another may be opened for the same request.
+ *
+ * @param before - the record, if there is one
+ * @param key - the key
+ * @param fingerprint - hash of the request's body
+ * @param attempt - the attempt
+ * @param now - the present time, in milliseconds since the epoch
+ * @returns `done` if the attempt was not dispatched and never will be
+ */
+export function drop (
+  before: KeyRecord | undefined, key: string, fingerprint: string, attempt: number, now: number
+): Ruling {
+  const wrong = mismatch(before, fingerprint)
+  if (wrong !== undefined) return wrong
+  const record = before ?? fresh(key, fingerprint, now)
+  if (record.place !== undefined) return { ruling: 'dispatched', record, place: record.place }
+  return { ruling: 'done', record: { ...record, barred: Math.max(record.barred, attempt), at: now } }
 }
 
 /**
@@ -143,6 +185,7 @@
     fingerprint: a.fingerprint,
     opened: Math.max(a.opened, b.opened),
     barred: Math.max(a.barred, b.barred),
+    closed: Math.max(a.closed, b.closed),
     place: places[0],
     withdrawn,
     at: Math.max(a.at, b.at)
--- a/src/service/once.ts
+++ b/src/service/once.ts
@@ -1,7 +1,8 @@
 import { ok, type Result } from 'neverthrow'
-import { type Clock, sleep, timeId } from '../base/index.js'
+import { type Clock, timeId } from '../base/index.js'
 import { type ClaimFailure, claimOf, ClaimPhase, type Claims, type Held, nextMove } from '../claim/index.js'
 import type { PlatformFailure } from '../platform/index.js'
+import { CLOCK_SKEW_MS } from '../record/index.js'
 import type { Forward, ServiceAnswer, ServiceClient } from './client.js'
 import type { ServiceFailure } from './failure.js'
 import type { CallOutcome } from './outcome.js'
@@ -14,10 +15,14 @@
   readonly isMinted: boolean
   readonly fingerprint: string
   readonly forward: Forward
+  /** When the call arrived, in milliseconds since the epoch. */
+  readonly arrived: number
 }
 
 const WAIT_PAUSE_MS = 200
 const RETRY_AFTER_MS = 5_000
+/** A call sent within this time after it was barred counts as sent before; less than the time to come back. */
+const BARRED_MS = 4_000
 /** How long an answer that could not be recorded is tried again, in milliseconds. */
 const RECORD_FOR_MS = 600_000
 const RECORD_PAUSE_MS = 1_000
@@ -54,10 +59,7 @@
     const first = await this.firstRead(call)
     if (first.isErr()) return unknown('table-unavailable')
     for (let held = first.value; ;) {
-      // Whoever barred the call meanwhile told its caller that no attempt runs it, this one included.
-      if (held.claim?.phase === ClaimPhase.barred && held.version > first.value.version) {
-        return { outcome: 'not-run', reason: 'barred', retryAfterMs: RETRY_AFTER_MS }
-      }
+      if (isBarredFor(call, held)) return { outcome: 'not-run', reason: 'barred', retryAfterMs: RETRY_AFTER_MS }
       const move = nextMove(held, call.fingerprint)
       if (move.move === 'claim') {
         const claimed = await this.claim(call, held, attempt)
@@ -72,7 +74,7 @@
       } else if (this.clock.now() >= deadline) {
         return unknown('in-flight')
       } else {
-        await sleep(WAIT_PAUSE_MS)
+        await this.clock.sleep(WAIT_PAUSE_MS)
       }
       const read = await this.claims.read(call.key)
       if (read.isErr()) return unknown('table-unavailable')
@@ -127,9 +129,12 @@
   }
 
   private async notRun (call: OnceCall, held: Held, attempt: string): Promise<CallOutcome> {
+    const barredAt = this.clock.now()
     const barred = await this.recordOnce(call, held, ClaimPhase.barred, attempt)
     if (!barred) void this.record(call, held, ClaimPhase.barred, attempt)
-    if (!barred && !call.isMinted) return unknown('no-worker')
+    // A bar that took too long does not cover what was sent meanwhile.
+    const isCovered = barred && this.clock.now() + CLOCK_SKEW_MS <= barredAt + BARRED_MS
+    if (!isCovered && !call.isMinted) return unknown('no-worker')
     return { outcome: 'not-run', reason: 'no-worker', retryAfterMs: RETRY_AFTER_MS }
   }
 
@@ -144,7 +149,7 @@
   private async release (call: OnceCall, held: Held, attempt: string): Promise<void> {
     const until = this.clock.now() + RECORD_FOR_MS
     for (let pause = RECORD_PAUSE_MS; this.clock.now() < until; pause = Math.min(pause * 2, RECORD_LONGEST_PAUSE_MS)) {
-      await sleep(pause)
+      await this.clock.sleep(pause)
       const read = await this.claims.read(call.key)
       if (read.isErr()) continue
       if (read.value.claim?.attempt !== attempt || read.value.claim.phase !== ClaimPhase.dispatched) return
@@ -157,7 +162,7 @@
   ): Promise<void> {
     const until = this.clock.now() + RECORD_FOR_MS
     for (let pause = RECORD_PAUSE_MS; this.clock.now() < until; pause = Math.min(pause * 2, RECORD_LONGEST_PAUSE_MS)) {
-      await sleep(pause)
+      await this.clock.sleep(pause)
       if (await this.recordOnce(call, held, phase, attempt, answer)) return
     }
   }
@@ -178,6 +183,11 @@
   }
 }
 
+/** Whoever barred the call told its caller that no attempt sent until then will run it. */
+function isBarredFor (call: OnceCall, held: Held): boolean {
+  return held.claim?.phase === ClaimPhase.barred && call.arrived <= held.claim.at + BARRED_MS
+}
+
 function unknown (reason: string): CallOutcome {
   return { outcome: 'unknown', reason, retryAfterMs: RETRY_AFTER_MS }
 }
--- a/standins/deployment.ts
+++ b/standins/deployment.ts
@@ -36,6 +36,8 @@
   readonly workers: Node[] = []
   platform: Node | undefined
   private readonly cuts: Cut[] = []
+  /** What ended engines and workers had run. */
+  private readonly retired = new Map<string, number>()
   private readonly folder = mkdtempSync(join(tmpdir(), 'marigoldvalve-'))
 
   /** @param spec - what it consists of */
@@ -140,7 +142,7 @@
    * @returns how often each request was run, over all of them
    */
   async runs (nodes: readonly Node[]): Promise<Map<string, number>> {
-    const sums = new Map<string, number>()
+    const sums = new Map(this.retired)
     for (const node of nodes.filter(each => each.child.isRunning)) {
       const response = await request(`http://127.0.0.1:${node.port}/ran`)
       const { runs } = await response.body.json() as { runs: Record<string, number> }
@@ -169,6 +171,16 @@
     this.cuts[to]!.unblock(this.peerIp(from))
   }
 
+  /**
+   * Kills an engine or worker, after noting what it has run.
+   *
+   * @param node - the engine or worker
+   */
+  async retire (node: Node): Promise<void> {
+    for (const [nonce, count] of await this.runs([node])) this.retired.set(nonce, count)
+    await node.child.kill()
+  }
+
   /** Ends all processes that this deployment started. */
   async stop (): Promise<void> {
     const nodes = [...this.hosts, ...this.engines, ...this.workers, this.platform]
--- a/test/record.test.ts
+++ b/test/record.test.ts
@@ -10,7 +10,7 @@
 }
 
 function opened (now = 100): KeyRecord {
-  return open(undefined, KEY, PRINT, now).record
+  return open(undefined, KEY, PRINT, now, now).record
 }
 
 function begun (now = 100): KeyRecord {
@@ -20,7 +20,7 @@
 
 describe('a key record', () => {
   it('numbers attempts upwards, whatever the clock does', () => {
-    expect(open(opened(100), KEY, PRINT, 50).record.opened).toEqual(101)
+    expect(open(opened(100), KEY, PRINT, 50, 50).record.opened).toEqual(101)
   })
 
   it('grants the first dispatch', () => {
@@ -37,23 +37,28 @@
   })
 
   it('tells a new attempt on a dispatched key where it is', () => {
-    expect(open(begun(), KEY, PRINT, 200).ruling).toEqual('dispatched')
+    expect(open(begun(), KEY, PRINT, 200, 200).ruling).toEqual('dispatched')
   })
 
   it('refuses another request under the same key', () => {
-    expect(open(opened(), KEY, 'other', 200).ruling).toEqual('mismatch')
+    expect(open(opened(), KEY, 'other', 200, 200).ruling).toEqual('mismatch')
   })
 
   it('denies every attempt opened before it was barred', () => {
-    const barred = bar(open(opened(), KEY, PRINT, 110).record, KEY, PRINT, 120).record
+    const barred = bar(open(opened(), KEY, PRINT, 110, 110).record, KEY, PRINT, 120).record
     expect(begin(barred, KEY, PRINT, place(100), 130).ruling).toEqual('barred')
     expect(begin(barred, KEY, PRINT, place(110), 130).ruling).toEqual('barred')
   })
 
   it('grants an attempt opened after it was barred', () => {
     const barred = bar(opened(), KEY, PRINT, 120).record
-    const again = open(barred, KEY, PRINT, 130).record
-    expect(begin(again, KEY, PRINT, place(again.opened), 140).ruling).toEqual('done')
+    const again = open(barred, KEY, PRINT, 5_000, 5_000).record
+    expect(begin(again, KEY, PRINT, place(again.opened), 5_001).ruling).toEqual('done')
+  })
+
+  it('opens no attempt that arrived before it was barred, however late it comes', () => {
+    const barred = bar(opened(), KEY, PRINT, 120).record
+    expect(open(barred, KEY, PRINT, 110, 9_000).ruling).toEqual('barred')
   })
 
   it('can not be barred once dispatched', () => {
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -76,7 +76,7 @@
   'kill and cut': async deployment => {
     await Promise.all([cut(deployment, 0, 2, true), kill(deployment, 1)])
   },
-  'engine dies': async deployment => { await deployment.engines[0]!.child.kill() },
+  'engine dies': async deployment => await deployment.retire(deployment.engines[0]!),
   'engine drops streams': async deployment => {
     await deployment.control(deployment.engines[0]!, { dropEvery: 15, reorder: true, double: true })
   },
--- a/tools/matrix.ts
+++ b/tools/matrix.ts
@@ -78,7 +78,7 @@
     await deployment.start()
     const brought = pause(FAULT_AT_MS).then(async () => await fault(deployment))
     const [stories] = await Promise.all([load(deployment), brought])
-    const runs = new Map([...await deployment.runs(deployment.engines), ...await deployment.runs(deployment.workers)])
+    const runs = await deployment.runs([...deployment.engines, ...deployment.workers])
     return rowsOf(name, stories, runs)
   } finally {
     await deployment.stop()
