Spread revisions at once instead of by rounds; balance the test load by readiness

Cause: after a planned stop others learned of the new view by their next poll or probe; until then they asked a host that was no longer the home. Change: a host that learns of a revision tells those it watches at once, and a host that hears of one reads it at once. Also: an answer that gets further after a break is read on without bound; the count is of breaks in a row. The engine stand-in cut streams before sending what it was told to send: mended. The load now asks the readiness path.

--- a/src/host/heartbeat.ts
+++ b/src/host/heartbeat.ts
@@ -9,8 +9,8 @@
 
 /** Probes the members that this host watches, and spreads revisions on the way. */
 export class Heartbeat {
-  /** Logs that another host is ahead in, and which host. */
-  private readonly ahead = new Map<pb.Log, string>()
+  /** Logs that are being read from a host that is ahead. */
+  private readonly catching = new Set<pb.Log>()
 
   /**
    * @param self - this member's id
@@ -27,25 +27,27 @@
     private readonly clock: Clock
   ) {}
 
-  /** Does one round: probes, asks about suspects, and catches up with hosts that are ahead. */
+  /** Does one round: probes, and asks about suspects. */
   async beat (): Promise<void> {
     await Promise.all(this.members.watch.act(this.clock.now()).map(async action => await this.perform(action)))
-    for (const [log, member] of this.ahead) {
-      this.ahead.delete(log)
-      await this.catchUp(log, member)
-    }
+  }
+
+  /** Tells the watched members of a new revision at once, so that it spreads faster than by rounds. */
+  spread (): void {
+    const probes = this.members.watch.act(this.clock.now()).filter(action => action.action === 'probe')
+    for (const action of probes) void this.perform(action)
   }
 
   /**
-   * Takes note of another host's revisions.
+   * Takes note of another host's revisions, and catches up if it is ahead.
    *
    * @param member - the other
    * @param memberRevision - its revision of the membership log
    * @param configRevision - its revision of the configuration log
    */
   told (member: string, memberRevision: number, configRevision: number): void {
-    if (memberRevision > this.members.revision) this.ahead.set(pb.Log.MEMBERS, member)
-    if (configRevision > this.configurations.revision) this.ahead.set(pb.Log.CONFIG, member)
+    if (memberRevision > this.members.revision) void this.catchUp(pb.Log.MEMBERS, member)
+    if (configRevision > this.configurations.revision) void this.catchUp(pb.Log.CONFIG, member)
   }
 
   /**
@@ -94,9 +96,11 @@
   private async catchUp (which: pb.Log, member: string): Promise<void> {
     const log: Log = which === pb.Log.MEMBERS ? this.members : this.configurations
     const callee = this.members.view.members.get(member)
-    if (callee === undefined) return
+    if (callee === undefined || this.catching.has(which)) return
+    this.catching.add(which)
     const message = { log: which, since: log.revision }
     const reply = await this.peers.call(callee, async (client, options) => await client.entries(message, options))
+    this.catching.delete(which)
     if (reply.isOk()) log.receive(reply.value.entries)
   }
 }
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -135,6 +135,7 @@
     configurations.onChange(configuration => {
       pools.follow(configuration)
       if (!this.tenure.isLeaving) owner.follow(configuration, members.view)
+      heartbeat.spread()
     })
     lifecycle.every('poll', POLL_PERIOD_MS, async () => {
       await Promise.all([members.poll(), configurations.poll()])
@@ -147,9 +148,10 @@
   }
 
   private viewChanged (before: View, after: View): void {
-    const { peers, owner, configurations } = this.roles
+    const { peers, owner, configurations, heartbeat } = this.roles
     peers.retain(after.members)
     if (!this.tenure.isLeaving) owner.follow(configurations.configuration, after)
     this.tenure.follow(before, after)
+    heartbeat.spread()
   }
 }
--- a/src/owner/reader.ts
+++ b/src/owner/reader.ts
@@ -5,7 +5,7 @@
 /** Longest event taken from an engine, in bytes. */
 const GREATEST_EVENT_BYTES = 8 << 20
 
-/** How often a broken answer is read on before it is given up. */
+/** How often in a row a broken answer is read on without getting further before it is given up. */
 const RESUMES = 3
 const RESUME_PAUSE_MS = 200
 
@@ -51,13 +51,16 @@
    */
   async run (body: Result<Body, EngineFailure>, sink: Sink): Promise<Result<void, EngineFailure>> {
     let stream = body
-    for (let resumes = 0; ; resumes++) {
+    let resumes = 0
+    for (;;) {
+      const before = this.guard.position
       const read = stream.isOk() ? await this.drain(stream.value, sink) : err(stream.error)
       if (this.guard.isDone) return ok(undefined)
       const failure = read.isErr() ? read.error : this.failure('broken', 'the stream ended early')
+      if (this.guard.position > before) resumes = 0
       if (this.stopped || resumes === RESUMES || failure.code === 'absent') return err(failure)
       this.guard.rewind()
-      await this.clock.sleep(RESUME_PAUSE_MS * 2 ** resumes)
+      await this.clock.sleep(RESUME_PAUSE_MS * 2 ** resumes++)
       stream = await this.client.resume(this.source.address, this.source.responseId, this.guard.position)
     }
   }
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -127,13 +127,14 @@
     let sent = 0
     const pump = (): void => {
       if (this.faults.frozen) return
-      const fresh = sequence.events.slice(at)
+      const { truncateAfter, dropEvery } = this.faults
+      const room = dropEvery > 0 ? dropEvery - sent : Infinity
+      const fresh = sequence.events.slice(at, at + room)
       at += fresh.length
       sent += fresh.length
-      const { truncateAfter, dropEvery } = this.faults
       if (truncateAfter > 0 && at > truncateAfter) return finish()
-      if (dropEvery > 0 && sent >= dropEvery) return cut()
       if (fresh.length > 0) response.write(this.disturb(sequence, fresh).join(''))
+      if (dropEvery > 0 && sent >= dropEvery) return cut()
       if (sequence.done) finish()
     }
     const finish = (): void => {
@@ -142,7 +143,7 @@
     }
     const cut = (): void => {
       sequence.watchers.delete(pump)
-      response.destroy()
+      setImmediate(() => response.destroy())
     }
     sequence.watchers.add(pump)
     response.on('close', () => sequence.watchers.delete(pump))
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -86,6 +86,14 @@
   'worker drops answers': async deployment => {
     await deployment.control(deployment.workers[0]!, { dropAnswers: true })
   },
+  'drain each in turn': async deployment => {
+    for (const host of [...deployment.hosts]) {
+      await deployment.addHost()
+      await deployment.settle(1)
+      host.child.signal('SIGTERM')
+      await host.child.wait()
+    }
+  },
   'drain one': async deployment => {
     deployment.hosts[1]!.child.signal('SIGTERM')
     await deployment.hosts[1]!.child.wait()
--- a/tools/matrix.ts
+++ b/tools/matrix.ts
@@ -6,51 +6,28 @@
  */
 import { layOut } from '../src/cli/table.js'
 import { Deployment } from '../standins/deployment.js'
+import { type Load, reasonsOf, sendLoad } from '../standins/load.js'
 import { judge, type Verdict } from '../standins/oracle.js'
-import { type Story, tellCall, tellDraft, tellRead } from '../standins/story.js'
+import type { Story } from '../standins/story.js'
 import { FAULTS, type Fault } from './faults.js'
 
 const HOSTS = 5
-const DRAFTS = 120
-const CALLS = 60
-const READS = 40
-const SPREAD_MS = 10_000
 const FAULT_AT_MS = 2_500
-const TOKENS = 40
-const PATIENCE = { tries: 6, pauseMs: 1_500 }
-const ORGANISATIONS = ['acme', 'bravo']
+const LOAD: Load = {
+  drafts: 120,
+  calls: 60,
+  reads: 40,
+  spreadMs: 10_000,
+  tokens: 40,
+  organisations: ['acme', 'bravo'],
+  className: 'summary',
+  patience: { tries: 6, pauseMs: 3_500 }
+}
 
 function pause (ms: number): Promise<void> {
   return new Promise(resolve => setTimeout(resolve, ms))
 }
 
-async function load (deployment: Deployment): Promise<Story[]> {
-  const route = (first: number) => (attempt: number): number => {
-    const ready = deployment.hosts.filter(host => host.child.isRunning)
-    return ready[(first + attempt) % ready.length]!.port
-  }
-  const drafts = Array.from({ length: DRAFTS }, async (_, i) => {
-    await pause(i * SPREAD_MS / DRAFTS)
-    return await tellDraft({
-      organisation: ORGANISATIONS[i % 2]!,
-      className: 'summary',
-      input: `draft ${i}`,
-      tokens: TOKENS,
-      nonce: `draft-${i}`,
-      key: `key-${i}`
-    }, route(i), PATIENCE)
-  })
-  const calls = Array.from({ length: CALLS }, async (_, i) => {
-    await pause(i * SPREAD_MS / CALLS)
-    return await tellCall(ORGANISATIONS[i % 2]!, `call-${i}`, route(i), PATIENCE)
-  })
-  const reads = Array.from({ length: READS }, async (_, i) => {
-    await pause(i * SPREAD_MS / READS)
-    return await tellRead(ORGANISATIONS[i % 2]!, `read-${i}`, route(i), PATIENCE)
-  })
-  return await Promise.all([...drafts, ...calls, ...reads])
-}
-
 function rowsOf (fault: string, stories: readonly Story[], runs: ReadonlyMap<string, number>):
 { rows: string[][], faults: readonly string[] } {
   const kinds = ['draft', 'call', 'read'] as const
@@ -60,6 +37,7 @@
     fault, kind, ...[v.requests, v.answeredFirst, v.answeredLater, v.notRun, v.unknown, v.broken, v.slowestMs,
       v.faults.length].map(String)
   ])
+  for (const [reason, count] of reasonsOf(stories)) process.stdout.write(`  ${count} x ${reason}\n`)
   return { rows, faults: verdicts.flatMap(([, v]) => v.faults) }
 }
 
@@ -70,14 +48,14 @@
       name: engine, models: ['plain'], dataCentre: 'north', batch: 16, step: 8 + 6 * i, stepPerSequence: 0.2, prefill: 10
     })),
     workers: 3,
-    organisations: ORGANISATIONS,
+    organisations: LOAD.organisations,
     classes: '[classes.summary]\ntier = 2\nmodel = "plain"\nstart_within = "10s"\nfinish_within = "60s"\n',
     cuttable: true
   })
   try {
     await deployment.start()
     const brought = pause(FAULT_AT_MS).then(async () => await fault(deployment))
-    const [stories] = await Promise.all([load(deployment), brought])
+    const [stories] = await Promise.all([sendLoad(deployment, LOAD, 'm'), brought])
     const runs = await deployment.runs([...deployment.engines, ...deployment.workers])
     return rowsOf(name, stories, runs)
   } finally {
