--- a/src/base/document.ts
+++ b/src/base/document.ts
@@ -68,6 +68,9 @@
   }
   const checked = schema.safeParse(root)
   if (checked.success) return ok(checked.data)
-  const message = describe(file, schema, root, checked.error.issues[0]!)
+  // A mistyped key also makes the right one missing: the mistyped one is told first.
+  const issues = checked.error.issues
+  const first = issues.find(issue => issue.code === 'unrecognized_keys') ?? issues[0]!
+  const message = describe(file, schema, root, first)
   return err(new DocumentFailure('DocumentFailure', { code: 'schema' }, message))
 }
--- a/src/host/members.ts
+++ b/src/host/members.ts
@@ -13,7 +13,7 @@
   readonly retentionMs: number
 }
 
-type Draft = { step: 'join', member: Member } | { step: 'leave' | 'gone' | 'fail', member: string }
+type Draft = { step: 'join', member: Member, recovers?: string } | { step: 'leave' | 'gone' | 'fail', member: string }
 
 const APPEND_TRIES = 8
 const APPEND_PAUSE_MS = 200
--- a/src/host/tenure.ts
+++ b/src/host/tenure.ts
@@ -1,6 +1,6 @@
 import type Logger from 'bunyan'
 import { type Clock } from '../base/index.js'
-import type { View } from '../member/index.js'
+import type { Member, View } from '../member/index.js'
 import type { Roles } from './roles.js'
 
 const JOIN_PAUSE_MS = 1_000
@@ -23,7 +23,8 @@
   private open = true
   private renewing = false
   private ports: Ports = { peer: 0, caller: 0 }
-  private rebalancing: Promise<unknown> = Promise.resolve()
+  /** Whether the last handover of records reached all that were to get some. */
+  private rebalancing: Promise<boolean> = Promise.resolve(true)
 
   /**
    * @param roles - the host's roles
@@ -68,6 +69,7 @@
     const { id } = this.roles.identity.member
     this.rebalancing = this.roles.home.rebalance(before, after).then(result => {
       if (result.isErr()) this.log.warn({ err: result.error }, 'records were not handed over')
+      return result.isOk()
     })
     if (before.members.has(id) && !after.members.has(id) && !this.leaving) void this.rejoin()
   }
@@ -91,11 +93,11 @@
     await this.roles.members.append({ step: 'gone', member: id })
   }
 
-  private async join (): Promise<void> {
+  private async join (recovers?: string): Promise<void> {
     const { configurations, members, identity } = this.roles
     while (!this.leaving) {
       const isRead = await configurations.poll()
-      if (isRead && await members.append({ step: 'join', member: identity.member })) break
+      if (isRead && await members.append(step(identity.member, recovers))) break
       this.log.error('the table does not answer; not joined yet')
       await this.clock.sleep(JOIN_PAUSE_MS)
     }
@@ -108,10 +110,15 @@
     this.renewing = true
     this.joined = false
     this.log.warn('logged as failed by others; joining anew')
-    await this.rebalancing
+    const { id } = this.roles.identity.member
+    const isHandedOver = await this.rebalancing
     this.roles.home.clear()
     this.roles.identity.renew(this.ports.peer, this.ports.caller)
-    await this.join()
+    await this.join(isHandedOver ? id : undefined)
     this.renewing = false
   }
 }
+
+function step (member: Member, recovers: string | undefined): { step: 'join', member: Member, recovers?: string } {
+  return recovers === undefined ? { step: 'join', member } : { step: 'join', member, recovers }
+}
--- a/src/member/entry.ts
+++ b/src/member/entry.ts
@@ -13,6 +13,8 @@
 export interface Join extends Common {
   readonly step: 'join'
   readonly member: Member
+  /** A member logged as failed that this one was, if it has handed over all records it held. */
+  readonly recovers?: string
 }
 
 /** A member stops taking new work. */
--- a/src/member/view.ts
+++ b/src/member/view.ts
@@ -72,6 +72,7 @@
     let losses = this.losses
     if (entry.step === 'join') {
       members.set(entry.member.id, entry.member)
+      losses = losses.filter(loss => loss.member !== entry.recovers)
     } else if (entry.step === 'leave') {
       const member = members.get(entry.member)
       if (member !== undefined) members.set(member.id, { ...member, phase: Phase.leaving })
--- a/src/platform/signed.ts
+++ b/src/platform/signed.ts
@@ -1,4 +1,4 @@
-import { sign } from 'aws4'
+import aws4 from 'aws4'
 import { ResultAsync } from 'neverthrow'
 import { Agent, request } from 'undici'
 import { toError } from '../base/index.js'
@@ -54,7 +54,7 @@
    */
   send (order: Order): ResultAsync<Reply, PlatformFailure> {
     const url = new URL(order.path, this.access.address)
-    const signed = sign({
+    const signed = aws4.sign({
       host: url.host,
       method: order.method,
       path: url.pathname + url.search,
--- a/src/service/once.ts
+++ b/src/service/once.ts
@@ -59,7 +59,7 @@
     const first = await this.firstRead(call)
     if (first.isErr()) return unknown('table-unavailable')
     for (let held = first.value; ;) {
-      if (isBarredFor(call, held)) return { outcome: 'not-run', reason: 'barred', retryAfterMs: RETRY_AFTER_MS }
+      if (isBarredFor(call, held)) return await this.barAgain(call, held, attempt)
       const move = nextMove(held, call.fingerprint)
       if (move.move === 'claim') {
         const claimed = await this.claim(call, held, attempt)
@@ -132,12 +132,24 @@
     const barredAt = this.clock.now()
     const barred = await this.recordOnce(call, held, ClaimPhase.barred, attempt)
     if (!barred) void this.record(call, held, ClaimPhase.barred, attempt)
-    // A bar that took too long does not cover what was sent meanwhile.
-    const isCovered = barred && this.clock.now() + CLOCK_SKEW_MS <= barredAt + BARRED_MS
-    if (!isCovered && !call.isMinted) return unknown('no-worker')
+    if (!(barred && this.covers(barredAt)) && !call.isMinted) return unknown('no-worker')
     return { outcome: 'not-run', reason: 'no-worker', retryAfterMs: RETRY_AFTER_MS }
   }
 
+  /** Says "not run" of an attempt that was sent before the call was barred; what was sent since is barred too. */
+  private async barAgain (call: OnceCall, held: Held, attempt: string): Promise<CallOutcome> {
+    const barredAt = this.clock.now()
+    const claim = claimOf(ClaimPhase.barred, call.fingerprint, attempt, this.member(), barredAt)
+    const written = await this.claims.write(call.key, held, claim)
+    if (written.isErr() || !this.covers(barredAt)) return unknown('barred')
+    return { outcome: 'not-run', reason: 'barred', retryAfterMs: RETRY_AFTER_MS }
+  }
+
+  /** Whether a bar covers every attempt sent until now: one that took too long does not. */
+  private covers (barredAt: number): boolean {
+    return this.clock.now() + CLOCK_SKEW_MS <= barredAt + BARRED_MS
+  }
+
   private async replay (kept: Parameters<Claims['unpack']>[0]): Promise<CallOutcome> {
     const body = await this.claims.unpack(kept)
     if (body.isErr()) return unknown('objects-unavailable')
--- a/tools/faults.ts
+++ b/tools/faults.ts
@@ -87,7 +87,7 @@
     await deployment.control(deployment.workers[0]!, { dropAnswers: true })
   },
   'drain each in turn': async deployment => {
-    for (const host of [...deployment.hosts]) {
+    for (const host of deployment.hosts.filter(each => each.child.isRunning)) {
       await deployment.addHost()
       await deployment.settle(1)
       host.child.signal('SIGTERM')
