--- a/src/host/configurations.ts
+++ b/src/host/configurations.ts
@@ -3,7 +3,7 @@
 import { type Clock, Failure, timeId } from '../base/index.js'
 import { type Change, type Changes, Configuration } from '../config/index.js'
 import type { Journal, Stamped } from '../journal/index.js'
-import type { Log } from './log.js'
+import { KEPT_ENTRIES, type Log } from './log.js'
 
 /**
  * Why a change of configuration was not accepted:
@@ -37,7 +37,7 @@
     return this.present.revision
   }
 
-  /** The changes that led here, oldest first. */
+  /** The latest changes that led here, oldest first. */
   get history (): ReadonlyArray<Stamped<Changes>> {
     return this.entries
   }
@@ -101,6 +101,7 @@
       }
       this.present = next.value
       this.entries.push(stamped)
+      if (this.entries.length > KEPT_ENTRIES) this.entries.shift()
     }
     if (this.present !== before) for (const listener of this.listeners) listener(this.present)
   }
--- a/src/host/handlers.ts
+++ b/src/host/handlers.ts
@@ -32,7 +32,6 @@
   /** @returns the handlers, bound */
   all (): Partial<Impl> {
     return {
-      probe: request => this.probe(request),
       vouch: async request => ({ reached: await this.tools.heartbeat.reaches(request.member) }),
       entries: request => this.entries(request),
       link: (envelopes, context) => new pb.Exchange(this).run(envelopes, context.signal),
@@ -45,6 +44,7 @@
     switch (request.case) {
       case 'step': return this.step(request.value).then(value => ({ case: 'stepReply', value }))
       case 'copy': return this.copy(request.value).then(value => ({ case: 'copyReply', value }))
+      case 'probe': return Promise.resolve({ case: 'probeReply', value: this.probe(request.value) })
       case 'recall': return this.recall(request.value).then(value => ({ case: 'recallReply', value }))
       case 'offer': return Promise.resolve({ case: 'offerReply', value: this.offer(request.value) })
       case 'cancel': return this.cancel(request.value).then(() => ({ case: 'cancelReply', value: {} }))
--- a/src/host/heartbeat.ts
+++ b/src/host/heartbeat.ts
@@ -7,10 +7,15 @@
 /** How long a voucher may take, its own probe included, in milliseconds. */
 const VOUCH_TIMEOUT_MS = 2 * PROBE_TIMEOUT_MS
 
+/** Probes left unanswered in a row after which the connection is broken. */
+const MISSES_TO_RESET = 3
+
 /** Probes the members that this host watches, and spreads revisions on the way. */
 export class Heartbeat {
   /** Logs that are being read from a host that is ahead. */
   private readonly catching = new Set<pb.Log>()
+  /** How many probes in a row each member left unanswered. */
+  private readonly missed = new Map<string, number>()
 
   /**
    * @param self - this member's id
@@ -61,6 +66,7 @@
   private async perform (action: Action): Promise<void> {
     if (action.action === 'probe') {
       const reply = await this.probe(action.member)
+      this.count(action.member, reply !== undefined)
       if (reply === undefined) return
       this.members.watch.hear(action.member, this.clock.now())
       this.told(action.member, reply.memberRevision, reply.configRevision)
@@ -69,16 +75,26 @@
     }
   }
 
+  /** Breaks the connection to a member that left several probes in a row unanswered. */
+  private count (member: string, isAnswered: boolean): void {
+    const missed = isAnswered ? 0 : (this.missed.get(member) ?? 0) + 1
+    if (missed === 0) this.missed.delete(member)
+    else this.missed.set(member, missed)
+    if (missed < MISSES_TO_RESET) return
+    this.missed.delete(member)
+    this.peers.reset(member)
+  }
+
   private async probe (member: string): Promise<pb.ProbeResponse | undefined> {
     const callee = this.members.view.members.get(member)
     if (callee === undefined) return undefined
     const memberRevision = this.members.revision
     const configRevision = this.configurations.revision
-    const message = { member: this.self(), memberRevision, configRevision }
-    const reply = await this.peers
-      .call(callee, async (client, options) => await client.probe(message, options), PROBE_TIMEOUT_MS)
+    const value = { member: this.self(), memberRevision, configRevision }
+    const reply = await this.peers.ask(callee, { case: 'probe', value }, PROBE_TIMEOUT_MS)
+    if (reply.isErr() || reply.value.case !== 'probeReply') return undefined
     // A restarted process may answer at the address of the one before.
-    return reply.isOk() && reply.value.member === member ? reply.value : undefined
+    return reply.value.value.member === member ? reply.value.value : undefined
   }
 
   private async confirm (member: string, vouchers: readonly string[]): Promise<void> {
--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -17,6 +17,8 @@
 /** Time between two reads of the logs, in milliseconds. */
 const POLL_PERIOD_MS = 2_000
 const EXPIRE_PERIOD_MS = 5_000
+/** Time between two looks at the platform's list of hosts, in milliseconds. */
+const LIST_PERIOD_MS = 5_000
 
 /** One host's process: all roles, put together. */
 export class Host {
@@ -141,12 +143,21 @@
       await Promise.all([members.poll(), configurations.poll()])
     })
     lifecycle.every('heartbeat', PROBE_PERIOD_MS, async () => await heartbeat.beat())
+    lifecycle.every('host list', LIST_PERIOD_MS, async () => await this.heedList())
     lifecycle.every('expiry', EXPIRE_PERIOD_MS, () => {
       home.expire(clock.now())
       answers.expire(clock.now())
     })
   }
 
+  /** Drains once the platform lists this host as leaving, should nobody have told the process. */
+  private async heedList (): Promise<void> {
+    const listed = await this.parts.platform.hosts.list()
+    if (listed.isErr()) return
+    const own = listed.value.find(each => each.host === this.parts.settings.host)
+    if (own?.leaving === true) await this.drain()
+  }
+
   private viewChanged (before: View, after: View): void {
     const { peers, owner, configurations, heartbeat } = this.roles
     peers.retain(after.members)
--- a/src/host/log.ts
+++ b/src/host/log.ts
@@ -1,3 +1,6 @@
+/** How many of the latest entries a host keeps for others; who is further behind reads the table. */
+export const KEPT_ENTRIES = 2_000
+
 /** A log whose revisions spread between hosts, also while the table is out of reach. */
 export interface Log {
   /** The revision in force here. */
--- a/src/host/members.ts
+++ b/src/host/members.ts
@@ -2,7 +2,7 @@
 import { type Clock, timeId, toError } from '../base/index.js'
 import type { Journal, Stamped } from '../journal/index.js'
 import { type Entry, type Member, type Testimony, View, Watch } from '../member/index.js'
-import type { Log } from './log.js'
+import { KEPT_ENTRIES, type Log } from './log.js'
 
 /** What the members of one host work with. */
 export interface MembersTools {
@@ -112,6 +112,7 @@
       if (stamped.revision !== after.revision + 1) continue
       after = after.apply(stamped, this.tools.retentionMs)
       this.entries.push(stamped)
+      if (this.entries.length > KEPT_ENTRIES) this.entries.shift()
     }
     if (after === before) return
     this.present = after
--- a/src/peer/peers.ts
+++ b/src/peer/peers.ts
@@ -20,9 +20,6 @@
 /** How long a short call may take, in milliseconds. */
 export const CALL_TIMEOUT_MS = 1_000
 
-const PING_INTERVAL_MS = 2_000
-const PING_TIMEOUT_MS = 3_000
-
 interface Connection {
   readonly client: Client<typeof Peer>
   readonly link: Link
@@ -84,17 +81,27 @@
     return ResultAsync.fromPromise(answer, thrown => toPeerFailure(callee.id, thrown))
   }
 
+  /**
+   * Breaks the connection to a member that has fallen silent, so that what waits for it fails.
+   *
+   * @param id - the member's id
+   */
+  reset (id: string): void {
+    const connection = this.connections.get(id)
+    if (connection === undefined) return
+    this.connections.delete(id)
+    connection.link.close()
+    connection.sessions.abort()
+  }
+
   /**
    * Closes connections to members that are gone.
    *
    * @param present - the ids of the members that are there
    */
   retain (present: ReadonlyMap<string, unknown>): void {
-    for (const [id, connection] of this.connections) {
-      if (present.has(id)) continue
-      this.connections.delete(id)
-      connection.link.close()
-      connection.sessions.abort()
+    for (const id of [...this.connections.keys()]) {
+      if (!present.has(id)) this.reset(id)
     }
   }
 
@@ -114,9 +121,8 @@
 
   private open (callee: Callee): Connection {
     const baseUrl = `http://${callee.peerAddress}`
-    const sessions = new Http2SessionManager(baseUrl, {
-      pingIntervalMs: PING_INTERVAL_MS, pingTimeoutMs: PING_TIMEOUT_MS, pingIdleConnection: false
-    }, { localAddress: this.ip } as ClientSessionOptions)
+    // No pings here: a ping that times out while its session is being closed ends the process. Probes do that work.
+    const sessions = new Http2SessionManager(baseUrl, {}, { localAddress: this.ip } as ClientSessionOptions)
     const authenticate: Interceptor = next => async request => {
       request.header.set(KEY_HEADER, this.key)
       return await next(request)
--- a/test/faults.test.ts
+++ b/test/faults.test.ts
@@ -96,6 +96,8 @@
   it('a host frozen for long doubles nothing and says no false "not run"', async () => {
     const { faults } = await bring(deployment, 'freeze')
     expect(faults).toEqual([])
+    // The hosts that waited for the frozen one must not end with it.
+    expect(deployment.hosts.filter(host => !host.child.isRunning)).toEqual([])
     await deployment.settle(1)
   })
 
--- /dev/null
+++ b/tools/slopes.ts
@@ -0,0 +1,209 @@
+/**
+ * Slopes for docs/CAPACITY.md: what each part of the control state costs a
+ * host, at several sizes, with the fit and its spread. In one process.
+ */
+import { performance } from 'node:perf_hooks'
+import { Admission, type Job } from '../src/admission/index.js'
+import { Ranking } from '../src/base/index.js'
+import { type Change, Configuration } from '../src/config/index.js'
+import { readEvent, Splitter } from '../src/engine/index.js'
+import { type Member, Phase, View, Watch } from '../src/member/index.js'
+import { type KeyRecord, Ledger } from '../src/record/index.js'
+import { layOut } from '../src/cli/table.js'
+
+const RETENTION_MS = 900_000
+const ROUNDS = 5
+
+interface Point {
+  readonly size: number
+  readonly value: number
+}
+
+interface Fit {
+  readonly slope: number
+  readonly offset: number
+  /** Greatest distance of a point from the fit, as a share of the value. */
+  readonly spread: number
+}
+
+function fit (points: readonly Point[]): Fit {
+  const n = points.length
+  const meanX = points.reduce((sum, point) => sum + point.size, 0) / n
+  const meanY = points.reduce((sum, point) => sum + point.value, 0) / n
+  const top = points.reduce((sum, point) => sum + (point.size - meanX) * (point.value - meanY), 0)
+  const slope = top / points.reduce((sum, point) => sum + (point.size - meanX) ** 2, 0)
+  const offset = meanY - slope * meanX
+  const spread = Math.max(...points.map(point =>
+    Math.abs(point.value - offset - slope * point.size) / Math.max(Math.abs(point.value), 1e-9)))
+  return { slope, offset, spread }
+}
+
+function median (values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)]!
+}
+
+function heapOf (build: () => unknown): number {
+  global.gc!()
+  const before = process.memoryUsage().heapUsed
+  const built = build()
+  global.gc!()
+  const bytes = process.memoryUsage().heapUsed - before
+  if (built === undefined) throw new Error('nothing was built')
+  return bytes
+}
+
+function microsOf (times: number, run: (i: number) => void): number {
+  const rounds = Array.from({ length: ROUNDS }, () => {
+    const startedAt = performance.now()
+    for (let i = 0; i < times; i++) run(i)
+    return (performance.now() - startedAt) * 1_000 / times
+  })
+  return median(rounds)
+}
+
+function member (i: number): Member {
+  const id = `host-${i}.0195f1d2-0000-7000-8000-${String(i).padStart(12, '0')}`
+  const address = `10.0.0.1:${i}`
+  const dataCentre = `dc-${i % 9}`
+  return { id, host: `host-${i}`, dataCentre, peerAddress: address, callerAddress: address, phase: Phase.live }
+}
+
+function viewOf (size: number): View {
+  let view = View.empty
+  for (let i = 0; i < size; i++) {
+    const entry = { step: 'join', member: member(i), id: `j${i}`, by: 'x', at: i * 60_000 } as const
+    view = view.apply({ revision: i + 1, entry }, RETENTION_MS)
+  }
+  return view
+}
+
+function recordOf (i: number): KeyRecord {
+  const place = { server: `engine-${i % 6_400}`, responseId: `resp_${'x'.repeat(40)}${i}`, attempt: 1_700_000_000_000 + i }
+  return {
+    key: `organisation-${i % 3_200}/0195f1d2-0000-7000-8000-${String(i).padStart(12, '0')}`,
+    fingerprint: `${i}`.padStart(64, 'f'),
+    opened: 1_700_000_000_000 + i,
+    barred: 0,
+    closed: 0,
+    place,
+    withdrawn: [],
+    at: 1_700_000_000_000 + i
+  }
+}
+
+function configurationOf (organisations: number): Configuration {
+  const steps = Array.from({ length: organisations }, (_, i): Change => ({
+    step: 'put', section: 'organisations', item: { name: `organisation-${i}`, keyHashes: [`${i}`.padStart(64, '0')] }
+  }))
+  return Configuration.empty.apply(steps)._unsafeUnwrap()
+}
+
+function serversOf (count: number): Configuration {
+  const steps = Array.from({ length: count }, (_, i): Change => ({
+    step: 'put',
+    section: 'servers',
+    item: {
+      name: `engine-${i}`,
+      kind: 'engine',
+      address: `http://10.0.0.1:${i}`,
+      dataCentre: `dc-${i % 9}`,
+      models: [`model-${i % 4}`],
+      service: undefined,
+      checksFencing: true,
+      draining: false
+    }
+  }))
+  return Configuration.empty.apply(steps)._unsafeUnwrap()
+}
+
+function jobOf (i: number): Job {
+  return {
+    id: `job-${i}`,
+    tier: 1 + i % 4,
+    yields: 0,
+    organisation: `organisation-${i % 50}`,
+    className: 'c',
+    arrived: 0,
+    startBy: 10_000_000 + i,
+    finishBy: 90_000_000,
+    promptTokens: 300,
+    outputTokens: 100
+  }
+}
+
+function admissionOf (size: number): Admission {
+  const admission = new Admission()
+  for (let i = 0; i < size; i++) admission.push(jobOf(i), 0)
+  return admission
+}
+
+const HOSTS = [50, 200, 600, 1_800]
+const KEYS = [1_000, 5_000, 20_000]
+const rows: string[][] = []
+
+function row (what: string, unit: string, points: readonly Point[]): void {
+  const { slope, offset, spread } = fit(points)
+  rows.push([what, points.map(point => `${point.size}: ${point.value.toFixed(2)}`).join('  '), unit,
+    slope.toPrecision(3), offset.toPrecision(3), `${(spread * 100).toFixed(0)}%`])
+}
+
+function measure (sizes: readonly number[], value: (size: number) => number): Point[] {
+  return sizes.map(size => ({ size, value: value(size) }))
+}
+
+row('view, memory by hosts', 'KB', measure(HOSTS, size => heapOf(() => viewOf(size)) / 1_024))
+row('applying one entry, by hosts', 'us', measure(HOSTS, size => {
+  const view = viewOf(size)
+  const entry = { step: 'join', member: member(9_999), id: 'x', by: 'x', at: 0 } as const
+  return microsOf(20, () => view.apply({ revision: size + 1, entry }, RETENTION_MS))
+}))
+row('home of a key, by hosts', 'us', measure(HOSTS, size => {
+  const view = viewOf(size)
+  return microsOf(500, i => view.holders(`key-${i}`))
+}))
+row('owners of 6,400 servers, by hosts', 'us', measure(HOSTS, size => {
+  const view = viewOf(size)
+  return microsOf(1, () => { for (let i = 0; i < 6_400; i++) view.ownerOf(`engine-${i}`) })
+}))
+row('one round of the watch, by hosts', 'us', measure(HOSTS, size => {
+  const view = viewOf(size)
+  const watch = new Watch(() => member(0).id)
+  watch.follow(view, 0)
+  return microsOf(500, () => watch.act(100))
+}))
+row('ledger, memory by keys', 'KB', measure(KEYS, size => heapOf(() => {
+  const ledger = new Ledger(RETENTION_MS)
+  for (let i = 0; i < size; i++) ledger.set(recordOf(i))
+  return ledger
+}) / 1_024))
+row('configuration, memory by organisations', 'KB', measure([100, 800, 3_200], size =>
+  heapOf(() => configurationOf(size)) / 1_024))
+row('configuration, memory by servers', 'KB', measure([100, 1_600, 6_400], size => heapOf(() => serversOf(size)) / 1_024))
+row('one change, by organisations', 'us', measure([100, 800, 3_200], size => {
+  const configuration = configurationOf(size)
+  const steps: Change[] = [{ step: 'put', section: 'organisations', item: { name: 'new', keyHashes: ['0'] } }]
+  return microsOf(20, () => configuration.apply(steps))
+}))
+row('forecast, by queued jobs', 'us', measure([4, 400, 4_000], size => {
+  const admission = admissionOf(size)
+  return microsOf(500, i => admission.forecast(jobOf(i), 0))
+}))
+row('push and remove, by queued jobs', 'us', measure([4, 400, 4_000], size => {
+  const admission = admissionOf(size)
+  return microsOf(500, i => {
+    admission.push(jobOf(1_000_000 + i), 0)
+    admission.remove(`job-${1_000_000 + i}`, 0)
+  })
+}))
+row('ranking ids, by ids', 'us', measure(HOSTS, size => {
+  const ranking = new Ranking(Array.from({ length: size }, (_, i) => `h${i}`))
+  return microsOf(500, i => ranking.top(`key-${i}`, 2))
+}))
+const event = Buffer.from('event: response.output_text.delta\ndata: {"type":"response.output_text.delta",' +
+  '"item_id":"msg_resp_1","output_index":0,"delta":"word ","sequence_number":17}\n\n')
+row('splitting and reading events, by events', 'us', measure([100, 1_000, 10_000], size => {
+  const splitter = new Splitter(1 << 20)
+  return microsOf(1, () => { for (let i = 0; i < size; i++) splitter.push(event)!.forEach(readEvent) })
+}))
+
+process.stdout.write(`${layOut(['WHAT', 'MEASURED', 'UNIT', 'SLOPE', 'OFFSET', 'SPREAD'], rows)}\n`)
