--- a/src/host/host.ts
+++ b/src/host/host.ts
@@ -17,6 +17,7 @@
 /** Time between two reads of the logs, in milliseconds. */
 const POLL_PERIOD_MS = 2_000
 const EXPIRE_PERIOD_MS = 5_000
+const REPORT_PERIOD_MS = 2_000
 /** Time between two looks at the platform's list of hosts, in milliseconds. */
 const LIST_PERIOD_MS = 5_000
 
@@ -144,6 +145,7 @@
     })
     lifecycle.every('heartbeat', PROBE_PERIOD_MS, async () => await heartbeat.beat())
     lifecycle.every('host list', LIST_PERIOD_MS, async () => await this.heedList())
+    lifecycle.every('metrics', REPORT_PERIOD_MS, () => owner.report())
     lifecycle.every('expiry', EXPIRE_PERIOD_MS, () => {
       home.expire(clock.now())
       answers.expire(clock.now())
--- a/src/owner/dispatcher.ts
+++ b/src/owner/dispatcher.ts
@@ -54,6 +54,14 @@
     }
   }
 
+  /** Sends how many jobs wait and run, and the limit. */
+  report (): void {
+    const tags = { server: this.server.name }
+    this.tools.metrics.gauge(Metric.queue, this.admission.waiting, tags)
+    this.tools.metrics.gauge(Metric.running, this.admission.running.size, tags)
+    this.tools.metrics.gauge(Metric.limit, this.admission.limit.jobs, tags)
+  }
+
   /** @param server - the server as configured from now on */
   update (server: BackendServer): void {
     this.server = server
--- a/src/owner/owner.ts
+++ b/src/owner/owner.ts
@@ -114,6 +114,11 @@
     for (const dispatcher of this.dispatchers.values()) dispatcher.drain()
   }
 
+  /** Sends the present figures of each owned server. */
+  report (): void {
+    for (const name of this.owned) this.dispatchers.get(name)?.report()
+  }
+
   /** Stops timers. */
   close (): void {
     for (const dispatcher of this.dispatchers.values()) dispatcher.close()
