Remove a way to forget records early

Nothing called it, and it would have been wrong: a frozen owner that wakes asks for a grant of a request that another owner answered, and an absent record would grant it. Records age out by retention.

--- a/src/record/home.ts
+++ b/src/record/home.ts
@@ -106,11 +106,6 @@
     return this.ledger.get(key)
   }
 
-  /** @param key - a key that this host minted and that is done with */
-  forget (key: string): void {
-    this.ledger.delete(key)
-  }
-
   /** Forgets all records: others have replaced this host, so what it holds may be out of date. */
   clear (): void {
     this.ledger.clear()
--- a/src/record/ledger.ts
+++ b/src/record/ledger.ts
@@ -27,11 +27,6 @@
     this.records.set(record.key, record)
   }
 
-  /** @param key - forgets its record */
-  delete (key: string): void {
-    this.records.delete(key)
-  }
-
   /** Forgets all records. */
   clear (): void {
     this.records.clear()
