--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -7,8 +7,6 @@
 export interface Scene {
   readonly agenda: Agenda
   readonly engines: readonly FakeEngine[]
-  /** Whether work of a lower tier runs or waits anywhere. */
-  hasLower (tier: number): boolean
 }
 
 /** A way of giving requests to engines. */
--- a/bench/run.ts
+++ b/bench/run.ts
@@ -61,7 +61,7 @@
   const engines = MAKES.map(make => new FakeEngine(make, agenda))
   const trace = makeTrace(spec)
   const notes = trace.map(request => new Note(request))
-  const policy = open({ agenda, engines, hasLower: () => false })
+  const policy = open({ agenda, engines })
   trace.forEach((request, i) => agenda.plan(request.at, () => policy.take(request, notes[i]!)))
   const endMs = (spec.seconds + DRAIN_S) * 1_000
   for (let at = 0; at < endMs; at += REPORT_LAG_MS) {
