Run on the users' platform: gateway, scheduler, adapter, design note

Cause: the product spoke only its own interface and protocols that the platform does not have. Ruled out: hono towards callers (paths must stay to the byte), undici's Pool (hides which connection an answer came on, and a reset from an end), claims in the store (an attempt carries its own id).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'src/peer/*_pb.ts'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'src/**/*_pb.ts'] }),
   {
     rules: {
       'max-len': ['error', { code: 120, ignoreStrings: true, ignoreTemplateLiterals: true }],
--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -2,7 +2,7 @@
 
 /** A source of time. Only code at the edge uses it; decisions take the present time as an argument. */
 export interface Clock {
-  /** @returns the present time, in milliseconds since the epoch */
+  /** @returns the present time, in milliseconds: since the epoch, or since the start for a steady clock */
   now (): number
 
   /**
@@ -22,3 +22,14 @@
     return sleep(ms)
   }
 }
+
+/** A clock that never jumps; its zero is the start of the process. */
+export class SteadyClock implements Clock {
+  now (): number {
+    return performance.now()
+  }
+
+  sleep (ms: number): Promise<void> {
+    return sleep(ms)
+  }
+}
--- a/src/base/index.ts
+++ b/src/base/index.ts
@@ -1,6 +1,6 @@
 /** Small pieces without knowledge of the product: time, failures, hashing, clean-up. */
 export { SECOND_MS, MINUTE_MS, HOUR_MS, sleep } from './time.js'
-export { type Clock, SystemClock } from './clock.js'
+export { type Clock, SteadyClock, SystemClock } from './clock.js'
 export { type Detail, Failure, toError } from './failure.js'
 export { hash, mix } from './hash.js'
 export { Ranking } from './ranking.js'
--- /dev/null
+++ b/src/dispatch/choice.ts
@@ -0,0 +1,161 @@
+import { type Clock, Ranking } from '../base/index.js'
+import type { Dispatcher } from './dispatcher.js'
+import { askFrame } from './frames.js'
+import type { Hub } from './hub.js'
+import { Link } from './link.js'
+import type { Member } from './member.js'
+
+/** What the members are ranked for; equal on all hosts. */
+const RANKING_KEY = 'scheduler'
+
+/** An ask that got no sign for this long is asked elsewhere, in milliseconds: above a paused core's 100 ms. */
+const ANSWER_MS = 150
+
+/** A link that is in use and was not heard for this long is given up, in milliseconds. */
+const SILENCE_MS = 450
+
+/** A link that does not come up in this time is given up, in milliseconds. */
+const OPENING_MS = 400
+
+/** Time between two signs of life while jobs wait, in milliseconds: a third of the silence that is borne. */
+const WAITING_PING_MS = 150
+
+/** Time between two signs of life otherwise, in milliseconds. */
+const IDLE_PING_MS = 1_000
+
+/** A link that failed is tried again after this time, in milliseconds. */
+const RETRY_MS = 600
+
+/** Chooses the scheduler that this host asks: the first member in the ranking that it reaches. */
+export class Choice {
+  private ranked: Member[] = []
+  private link: Link | undefined
+  private opening: { member: Member, link: Link, since: number } | undefined
+  private linkedTo: Member | undefined
+  private isLocal = false
+  private readonly failedAt = new Map<string, number>()
+
+  /**
+   * @param host - the name of this host
+   * @param ip - the IP number that it calls from
+   * @param hub - this host's own scheduler
+   * @param dispatcher - asks the scheduler that is chosen
+   * @param clock - steady time
+   * @param onChange - told the name of each new choice and why the one before ended
+   */
+  constructor (
+    private readonly host: string,
+    private readonly ip: string,
+    private readonly hub: Hub,
+    private readonly dispatcher: Dispatcher,
+    private readonly clock: Clock,
+    private readonly onChange: (host: string, reason: string) => void
+  ) {
+    this.useLocal('the start')
+  }
+
+  /**
+   * Sets who may be asked.
+   *
+   * @param members - all members, this host among them if it takes part
+   */
+  setMembers (members: readonly Member[]): void {
+    const byHost = new Map(members.map(member => [member.host, member]))
+    this.ranked = new Ranking(byHost.keys()).top(RANKING_KEY, byHost.size).map(host => byHost.get(host)!)
+    const current = this.linkedTo === undefined ? undefined : byHost.get(this.linkedTo.host)
+    if (this.link !== undefined && current?.address !== this.linkedTo?.address) {
+      this.link.close('the member is gone or was replaced')
+    }
+    this.tick()
+  }
+
+  /** The host whose scheduler is asked. */
+  get current (): string {
+    return this.linkedTo?.host ?? this.host
+  }
+
+  /** Looks at the links again, since time has passed. */
+  tick (): void {
+    const now = this.clock.now()
+    this.watch(now)
+    this.openBetter(now)
+  }
+
+  /** Closes the links. */
+  close (): void {
+    this.ranked = []
+    this.opening?.link.close('this host stops')
+    this.link?.close('this host stops')
+  }
+
+  private watch (now: number): void {
+    const { link } = this
+    if (link !== undefined) {
+      const isWaiting = this.dispatcher.isWaiting
+      const pingMs = isWaiting ? WAITING_PING_MS : IDLE_PING_MS
+      if (this.dispatcher.oldestUnheardMs(now) > ANSWER_MS) link.close('an ask got no answer')
+      else if (link.sentAt - link.heardAt > 0 && now - link.heardAt > pingMs + SILENCE_MS) link.close('it fell silent')
+      else if (now - link.sentAt > pingMs) link.send(askFrame(0, { case: 'ping', value: {} }))
+    }
+    if (this.opening !== undefined && now - this.opening.since > OPENING_MS) {
+      this.opening.link.close('it did not come up')
+    }
+  }
+
+  /** Opens a link to the first member that ranks above the present choice and did not fail lately. */
+  private openBetter (now: number): void {
+    if (this.opening !== undefined) return
+    for (const member of this.ranked) {
+      if (member.host === this.linkedTo?.host) return
+      if (member.host === this.host) {
+        if (!this.isLocal) this.useLocal('this host ranks first of those in reach')
+        return
+      }
+      if (now - (this.failedAt.get(member.host) ?? -RETRY_MS) < RETRY_MS) continue
+      this.open(member, now)
+      return
+    }
+  }
+
+  private open (member: Member, now: number): void {
+    const link: Link = new Link(this.host, this.ip, member.address, reply => {
+      if (this.opening?.link === link) this.useLink(member, link)
+      if (reply.job !== 0 && this.link === link) this.dispatcher.take(reply)
+    }, this.clock, reason => this.linkDown(member, link, reason))
+    this.opening = { member, link, since: now }
+  }
+
+  private useLink (member: Member, link: Link): void {
+    this.opening = undefined
+    const before = this.link
+    this.link = link
+    this.linkedTo = member
+    this.leaveLocal()
+    before?.close('another member ranks higher')
+    this.dispatcher.use(link)
+    this.onChange(member.host, 'it is the first in reach')
+  }
+
+  private linkDown (member: Member, link: Link, reason: string): void {
+    if (this.opening?.link === link) this.opening = undefined
+    else if (this.link !== link) return
+    this.failedAt.set(member.host, this.clock.now())
+    if (this.link === link) this.useLocal(`${member.host}: ${reason}`)
+  }
+
+  private useLocal (reason: string): void {
+    const before = this.link
+    this.link = undefined
+    this.linkedTo = undefined
+    this.isLocal = true
+    before?.close('this host asks its own scheduler')
+    this.dispatcher.use(this.hub.connect(this.host, reply => this.dispatcher.take(reply)))
+    this.onChange(this.host, reason)
+  }
+
+  private leaveLocal (): void {
+    if (!this.isLocal) return
+    this.isLocal = false
+    this.hub.disconnect(this.host)
+  }
+}
--- /dev/null
+++ b/src/dispatch/index.ts
@@ -0,0 +1,7 @@
+/** Brings the asks of all hosts to one scheduler. */
+export { Hub } from './hub.js'
+export { Dispatcher } from './dispatcher.js'
+export type { Placement, Ticket } from './ticket.js'
+export type { Member } from './member.js'
+export { Choice } from './choice.js'
+export { DispatchListener } from './listener.js'
--- /dev/null
+++ b/src/forward/ingress.ts
@@ -0,0 +1,208 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { type CallerLimits, type Deployment, type Organisation, type Route, Unit } from '../routing/index.js'
+import { Answer } from './answer.js'
+import { Attempt } from './attempt.js'
+import type { CallerRequest } from './callerrequest.js'
+import type { ForwardContext } from './context.js'
+import { headerOf } from './headers.js'
+import { Status } from './status.js'
+
+/** Longest header block that is read at all, in bytes; the deployment's limit is below it. */
+const GREATEST_HEADER_BYTES = 64 << 10
+
+/** Idle connections are kept this much longer than stated, in milliseconds, for requests that cross their end. */
+const IDLE_MARGIN_MS = 1_000
+
+/** How often node looks for connections that took too long, in milliseconds. */
+const CONNECTION_CHECK_MS = 1_000
+
+/** When a caller may come back to a host that knows no deployment yet, in milliseconds. */
+const UNKNOWN_RETRY_MS = 300
+
+/** A deadline for callers that state none, in milliseconds. */
+const DEFAULT_DEADLINE_MS = 60_000
+
+/** Takes the requests of callers. */
+export class Ingress {
+  private readonly server: Server
+  private readonly attempts = new Set<Attempt>()
+  private readonly active = new Set<ServerResponse>()
+
+  /** @param context - what requests are worked on with */
+  constructor (private readonly context: ForwardContext) {
+    this.server = createServer({
+      maxHeaderSize: GREATEST_HEADER_BYTES,
+      connectionsCheckingInterval: CONNECTION_CHECK_MS,
+      requestTimeout: 0
+    }, (request, response) => this.take(request, response))
+    this.server.on('clientError', (error, socket) => {
+      const isLong = (error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW'
+      const status = isLong ? '431 Request Header Fields Too Large' : '400 Bad Request'
+      if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+      else socket.destroy()
+    })
+  }
+
+  /**
+   * @param ip - the IP number to listen at
+   * @param port - the port; 0 takes any free one
+   * @returns the port
+   */
+  listen (ip: string, port: number): Promise<number> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject)
+      this.server.listen(port, ip, () => {
+        const address = this.server.address()
+        resolve(address !== null && typeof address === 'object' ? address.port : port)
+      })
+    })
+  }
+
+  /** @param limits - what callers may send and how long they may take */
+  setLimits (limits: CallerLimits): void {
+    this.server.headersTimeout = limits.headerTimeoutMs
+    this.server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+  }
+
+  /** How many requests have no final answer yet. */
+  get size (): number {
+    return this.active.size
+  }
+
+  /**
+   * Looks at all requests again, since time has passed.
+   *
+   * @param now - steady time, in milliseconds
+   */
+  tick (now: number): void {
+    for (const attempt of this.attempts) attempt.tick(now)
+  }
+
+  /** Ends connections that carry no request, and takes no new ones. */
+  stopIdle (): void {
+    this.server.close()
+    this.server.closeIdleConnections()
+  }
+
+  /** Ends all connections. */
+  close (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  private take (message: IncomingMessage, response: ServerResponse): void {
+    const arrivedAt = this.context.clock.now()
+    const { names } = this.context
+    const attempt = headerOf(message.rawHeaders, names.attempt)
+    const echo = attempt === undefined ? undefined : [names.attempt, attempt] as const
+    const answer = new Answer(response, echo, () => this.context.isClosing())
+    this.active.add(response)
+    response.on('close', () => this.active.delete(response))
+    const deployment = this.context.deployment()
+    if (deployment === undefined) {
+      this.reject(message, answer, Status.unavailable, 'no deployment is known yet', UNKNOWN_RETRY_MS)
+      return
+    }
+    const { headerBytes, bodyBytes } = deployment.limits
+    if (lengthOf(message.rawHeaders) > headerBytes) {
+      this.reject(message, answer, Status.headersTooLarge, 'the headers are too long')
+      return
+    }
+    const found = identify(deployment, message, names.key)
+    if (typeof found === 'number') {
+      this.reject(message, answer, found, found === Status.notFound ? 'no such route' : 'the key is not known')
+      return
+    }
+    if (Number(message.headers['content-length'] ?? 0) > bodyBytes) {
+      this.reject(message, answer, Status.tooLarge, 'the body is too long')
+      return
+    }
+    this.read(message, answer, bodyBytes, body => {
+      this.begin(this.requestOf(message, attempt, body, found, arrivedAt), answer, response)
+    })
+  }
+
+  /** Answers before the body is read; a connection whose body is still due can't be kept. */
+  private reject (message: IncomingMessage, answer: Answer, status: number, reason: string, retryMs?: number): void {
+    this.context.log.debug({ event: 'rejected', status, reason }, 'rejected')
+    answer.own(status, reason, retryMs)
+    message.resume()
+  }
+
+  private read (message: IncomingMessage, answer: Answer, bodyBytes: number, take: (body: Buffer) => void): void {
+    const pieces: Buffer[] = []
+    let bytes = 0
+    message.on('data', (piece: Buffer) => {
+      bytes += piece.length
+      if (bytes <= bodyBytes) pieces.push(piece)
+      else if (!answer.isOver) answer.own(Status.tooLarge, 'the body is too long')
+    })
+    message.on('end', () => {
+      if (!answer.isOver) take(pieces.length === 1 ? pieces[0]! : Buffer.concat(pieces))
+    })
+    // A caller that leaves while it sends its body has no attempt yet.
+    message.on('error', () => undefined)
+  }
+
+  private begin (request: CallerRequest, answer: Answer, response: ServerResponse): void {
+    const attempt = new Attempt(this.context, request, answer, over => this.attempts.delete(over))
+    this.attempts.add(attempt)
+    response.on('close', () => { if (!response.writableFinished) attempt.left() })
+    attempt.start()
+  }
+
+  private requestOf (
+    message: IncomingMessage, attempt: string | undefined, body: Buffer, found: Found, arrivedAt: number
+  ): CallerRequest {
+    const { names } = this.context
+    const headers = message.rawHeaders
+    const { route, organisation } = found
+    const [promptTokens, outputTokens] = tokensOf(headerOf(headers, names.usage))
+    const leftMs = Number(headerOf(headers, names.deadline) ?? DEFAULT_DEADLINE_MS)
+    const lastEvent = headerOf(headers, names.lastEvent)
+    return {
+      attempt,
+      method: message.method ?? 'GET',
+      target: message.url ?? '/',
+      headers,
+      body,
+      route,
+      organisation,
+      promptTokens,
+      outputTokens,
+      units: unitsOf(organisation, promptTokens + outputTokens),
+      lastEvent: lastEvent === undefined ? undefined : Number(lastEvent),
+      arrivedAt,
+      deadlineAt: arrivedAt + Math.min(Number.isFinite(leftMs) ? leftMs : DEFAULT_DEADLINE_MS, route.timeoutMs)
+    }
+  }
+}
+
+interface Found {
+  readonly route: Route
+  readonly organisation: Organisation | undefined
+}
+
+/** Finds route and organisation, or the status of the refusal. */
+function identify (deployment: Deployment, message: IncomingMessage, keyName: string): Found | number {
+  const route = deployment.match(message.headers.host ?? '', message.url ?? '/')
+  if (route === undefined) return Status.notFound
+  if (route.isPublic || !deployment.needsKeys) return { route, organisation: undefined }
+  const organisation = deployment.organisationOf(headerOf(message.rawHeaders, keyName) ?? '')
+  return organisation === undefined ? Status.unauthorised : { route, organisation }
+}
+
+function lengthOf (headers: readonly string[]): number {
+  return headers.reduce((sum, text) => sum + text.length + 2, 0)
+}
+
+function tokensOf (usage: string | undefined): readonly [number, number] {
+  const [prompt, output] = (usage ?? '').split(',').map(Number)
+  const isSound = prompt !== undefined && output !== undefined && Number.isFinite(prompt) && Number.isFinite(output)
+  return isSound ? [prompt, output] : [0, 0]
+}
+
+function unitsOf (organisation: Organisation | undefined, tokens: number): number {
+  if (organisation === undefined || organisation.unit === Unit.requests) return 1
+  return tokens > 0 ? tokens : organisation.plainTokens
+}
--- /dev/null
+++ b/src/gateway/settings.ts
@@ -0,0 +1,25 @@
+import type { RepeatBounds, Tolerance } from '../schedule/index.js'
+
+/** An IP number and a port. */
+export interface Endpoint {
+  readonly ip: string
+  readonly port: number
+}
+
+/** What a gateway process is told at its start. */
+export interface GatewaySettings {
+  /** Name of this host; unique in the deployment. */
+  readonly host: string
+  readonly dataCentre: string
+  /** Where callers connect. */
+  readonly callers: Endpoint
+  /** Where the balancer asks whether this host takes new connections. */
+  readonly readiness: Endpoint
+  /** Where other hosts link to the scheduler of this one. */
+  readonly links: Endpoint
+  /** Time between a request to stop and the end by force, in milliseconds. */
+  readonly graceMs: number
+  readonly repeats: RepeatBounds
+  /** By how much organisations may go over their allowances. */
+  readonly tolerance: Tolerance
+}
--- a/src/peer/exchange.ts
+++ b/src/peer/exchange.ts
@@ -1,6 +1,7 @@
 import { toError } from '../base/index.js'
 import type { Body, InBody } from './link.js'
-import { Outbox, type OutFrame } from './outbox.js'
+import type { OutFrame } from './frame.js'
+import { Outbox } from './outbox.js'
 import type { Envelope, Frame } from './peer_pb.js'
 import { Window } from './window.js'
 
@@ -34,7 +35,7 @@
 
 /** The answering side of one link. */
 export class Exchange {
-  private readonly outbox = new Outbox()
+  private readonly outbox = new Outbox<OutFrame>()
   private readonly streams = new Map<number, Stream>()
 
   /** @param answerer - answers the calls */
--- a/src/peer/link.ts
+++ b/src/peer/link.ts
@@ -1,6 +1,7 @@
 import type { Client } from '@connectrpc/connect'
 import { PeerFailure, toPeerFailure } from './failure.js'
-import { type OutFrame, Outbox } from './outbox.js'
+import type { OutFrame } from './frame.js'
+import { Outbox } from './outbox.js'
 import type { Chunk, Frame, Peer } from './peer_pb.js'
 
 /** The body of a frame. */
@@ -19,7 +20,7 @@
 
 /** A stream of frames to one member, opened when first used and again after a break. */
 export class Link {
-  private outbox: Outbox | undefined
+  private outbox: Outbox<OutFrame> | undefined
   private readonly pending = new Map<number, Pending>()
   private lastCall = 0
 
@@ -121,13 +122,13 @@
 
   private send (frame: OutFrame): void {
     if (this.outbox === undefined) {
-      this.outbox = new Outbox()
+      this.outbox = new Outbox<OutFrame>()
       void this.run(this.outbox)
     }
     this.outbox.push(frame)
   }
 
-  private async run (outbox: Outbox): Promise<void> {
+  private async run (outbox: Outbox<OutFrame>): Promise<void> {
     try {
       for await (const envelope of this.client.link(outbox)) {
         for (const frame of envelope.frames) this.pending.get(frame.call)?.take(frame.body)
--- a/src/peer/outbox.ts
+++ b/src/peer/outbox.ts
@@ -1,17 +1,11 @@
-import type { MessageInitShape } from '@bufbuild/protobuf'
-import type { EnvelopeSchema, FrameSchema } from './peer_pb.js'
-
-/** A frame to be sent. */
-export type OutFrame = MessageInitShape<typeof FrameSchema>
-
 /** Collects frames and gives those of one turn of the event loop as one envelope. */
-export class Outbox implements AsyncIterable<MessageInitShape<typeof EnvelopeSchema>> {
-  private frames: OutFrame[] = []
+export class Outbox<Frame> implements AsyncIterable<{ frames: Frame[] }> {
+  private frames: Frame[] = []
   private wake: (() => void) | undefined
   private closed = false
 
   /** @param frame - sent with the next envelope; dropped once the outbox is closed */
-  push (frame: OutFrame): void {
+  push (frame: Frame): void {
     if (this.closed) return
     this.frames.push(frame)
     if (this.frames.length === 1) setImmediate(() => this.wake?.())
@@ -23,7 +17,7 @@
     this.wake?.()
   }
 
-  async * [Symbol.asyncIterator] (): AsyncGenerator<MessageInitShape<typeof EnvelopeSchema>> {
+  async * [Symbol.asyncIterator] (): AsyncGenerator<{ frames: Frame[] }> {
     while (!this.closed) {
       if (this.frames.length > 0) {
         const frames = this.frames
--- /dev/null
+++ b/src/schedule/allowance.ts
@@ -0,0 +1,91 @@
+import { SECOND_MS } from '../base/index.js'
+import type { Organisation } from '../routing/index.js'
+
+/** By how much an organisation may go over its rate and burst in all, as operators bear it. */
+export interface Tolerance {
+  /** Part of rate and burst. */
+  readonly part: number
+  /** Units beside that part. */
+  readonly units: number
+}
+
+/** Part of the tolerance that is given away; the rest covers the moments in which two schedulers count. */
+const GIVEN_PART = 0.6
+
+/** Part of its burst that an allowance holds when its use before is not known. */
+const UNKNOWN_LEVEL = 0.25
+
+/** What one organisation may still use: a bucket that fills at its rate. */
+export class Allowance {
+  private level: number
+  private filledAt: number
+
+  /**
+   * @param organisation - states rate and burst
+   * @param tolerance - how much more is borne
+   * @param share - part of them that may be used here, 0 to 1
+   * @param now - steady time, in milliseconds
+   */
+  constructor (
+    private organisation: Organisation,
+    private readonly tolerance: Tolerance,
+    private share: number,
+    now: number
+  ) {
+    this.level = this.most * UNKNOWN_LEVEL
+    this.filledAt = now
+  }
+
+  /**
+   * Changes the rate and burst.
+   *
+   * @param organisation - states them
+   * @param share - part of them that may be used here, 0 to 1
+   * @param now - steady time, in milliseconds
+   */
+  change (organisation: Organisation, share: number, now: number): void {
+    this.fill(now)
+    this.organisation = organisation
+    this.share = share
+    this.level = Math.min(this.level, this.most)
+  }
+
+  /**
+   * Takes units if there are enough.
+   *
+   * @param units - how many
+   * @param now - steady time, in milliseconds
+   * @returns 0 if they were taken, else the time until there are enough, in milliseconds
+   */
+  take (units: number, now: number): number {
+    if (this.organisation.ratePerS <= 0) return 0
+    this.fill(now)
+    // A request of more units than fit into the bucket passes when it is full, and leaves a debt.
+    const wanted = Math.min(units, this.most)
+    if (this.level >= wanted) {
+      this.level -= units
+      return 0
+    }
+    return (wanted - this.level) / this.ratePerMs
+  }
+
+  /** @param units - taken before, and not used */
+  giveBack (units: number): void {
+    this.level = Math.min(this.level + units, this.most)
+  }
+
+  private get most (): number {
+    const { part, units } = this.tolerance
+    return (this.organisation.burst * (1 + GIVEN_PART * part) + GIVEN_PART * units) * this.share
+  }
+
+  private get ratePerMs (): number {
+    return this.organisation.ratePerS * (1 + GIVEN_PART * this.tolerance.part) * this.share / SECOND_MS
+  }
+
+  private fill (now: number): void {
+    const passedMs = Math.max(0, now - this.filledAt)
+    this.level = Math.min(this.most, this.level + passedMs * this.ratePerMs)
+    this.filledAt = now
+  }
+}
--- /dev/null
+++ b/src/schedule/index.ts
@@ -0,0 +1,7 @@
+/** Decides which server each request gets, and when. */
+export type { Job } from './job.js'
+export { Outcome } from './outcome.js'
+export { type Effect, Refusal } from './effect.js'
+export type { RepeatBounds } from './repeats.js'
+export { Scheduler } from './scheduler.js'
+export type { Tolerance } from './allowance.js'
--- /dev/null
+++ b/src/schedule/job.ts
@@ -0,0 +1,32 @@
+/** One attempt of a caller as the scheduler sees it. Times are steady milliseconds of the scheduler's host. */
+export interface Job {
+  /** Unique over all hosts. */
+  readonly id: string
+  readonly service: string
+  /** Which work goes first: 0 is the highest rank. */
+  readonly rank: number
+  /** Whose allowance it counts against, if any. */
+  readonly organisation: string | undefined
+  /** What it counts, in the organisation's unit. */
+  readonly units: number
+  /** Tokens that a model engine must read; 0 for plain services. */
+  readonly promptTokens: number
+  /** Most tokens that it may produce; 0 for plain services. */
+  readonly outputTokens: number
+  /** When its caller's wait began. */
+  readonly arrivedAt: number
+  /** Latency objective, counted from the arrival; in milliseconds. */
+  readonly objectiveMs: number
+  /** Longest pause between events that is on time, in milliseconds; 0 for plain services. */
+  readonly pauseMs: number
+  /** When its caller stops waiting. */
+  readonly deadlineAt: number
+  /** Where the asking host is. */
+  readonly dataCentre: string
+  /** Servers that it may not be sent to again. */
+  readonly avoided: readonly string[]
+  /** Whether it was sent to a server before, and so draws on the budget of repeats. */
+  readonly isRepeat: boolean
+  /** Whether its units were already taken from the allowance. */
+  readonly isCharged: boolean
+}
--- /dev/null
+++ b/src/schedule/line.ts
@@ -0,0 +1,43 @@
+import type { Job } from './job.js'
+
+/** The jobs of one service that wait for a place, in the order in which they get one. */
+export class Line {
+  private readonly jobs: Job[] = []
+
+  /** How many jobs wait. */
+  get size (): number {
+    return this.jobs.length
+  }
+
+  /** @param job - waits from now on, behind those that go before it */
+  add (job: Job): void {
+    let low = 0
+    let high = this.jobs.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if (goesBefore(job, this.jobs[middle]!)) high = middle
+      else low = middle + 1
+    }
+    this.jobs.splice(low, 0, job)
+  }
+
+  /**
+   * @param id - the id of a job
+   * @returns the job, taken out, or undefined if it does not wait here
+   */
+  remove (id: string): Job | undefined {
+    const at = this.jobs.findIndex(job => job.id === id)
+    return at === -1 ? undefined : this.jobs.splice(at, 1)[0]
+  }
+
+  /** @returns the waiting jobs, first one first; a copy */
+  list (): Job[] {
+    return [...this.jobs]
+  }
+}
+
+/** Ranks in the operators' order; within a rank, whose objective passes first. */
+function goesBefore (a: Job, b: Job): boolean {
+  if (a.rank !== b.rank) return a.rank < b.rank
+  return a.arrivedAt + a.objectiveMs < b.arrivedAt + b.objectiveMs
+}
--- /dev/null
+++ b/src/schedule/load.ts
@@ -0,0 +1,106 @@
+import type { BackendServer } from '../fleet/index.js'
+import { Health } from './health.js'
+import type { Job } from './job.js'
+import { Outcome } from './outcome.js'
+import { Pace } from './pace.js'
+
+/** A job that a server works on. */
+export interface Run {
+  readonly job: Job
+  readonly grantedAt: number
+  /** Prompt tokens that the server had to read before this job's first event, its own included. */
+  readonly tokensBefore: number
+  /** When the first event came. */
+  startedAt: number | undefined
+}
+
+/** Time that a server in another data centre adds, in milliseconds: the way there and back. */
+const OTHER_DATA_CENTRE_MS = 4
+
+/** How much a certain failure weighs against waiting, as parts of the latency objective. */
+const FAILURE_OBJECTIVES = 3
+
+/** Added for each job that runs already, in milliseconds: each one slows the others a little. */
+const RUNNING_MS = 1
+
+/** What one backend server has to do, and how well it does it. */
+export class Load {
+  readonly pace = new Pace()
+  readonly health = new Health()
+  readonly running = new Map<string, Run>()
+
+  /** @param server - the newest statement of the server */
+  constructor (public server: BackendServer) {}
+
+  /**
+   * Puts a job on the server.
+   *
+   * @param job - runs there from now on
+   * @param now - steady time, in milliseconds
+   */
+  begin (job: Job, now: number): void {
+    const tokensBefore = this.unreadTokens + job.promptTokens
+    this.running.set(job.id, { job, grantedAt: now, tokensBefore, startedAt: undefined })
+  }
+
+  /**
+   * Tells that a job's first event came.
+   *
+   * @param job - the job's id
+   * @param now - steady time, in milliseconds
+   */
+  started (job: string, now: number): void {
+    const run = this.running.get(job)
+    if (run === undefined || run.startedAt !== undefined) return
+    run.startedAt = now
+    this.pace.sawFirst(now - run.grantedAt, run.tokensBefore)
+  }
+
+  /**
+   * Takes a job off the server.
+   *
+   * @param job - the job's id
+   * @param outcome - what became of it
+   * @param stepMs - mean pause between its events or length of the call, if known; in milliseconds
+   * @param now - steady time, in milliseconds
+   */
+  end (job: string, outcome: Outcome, stepMs: number | undefined, now: number): void {
+    this.running.delete(job)
+    this.health.saw(outcome, now)
+    if (stepMs !== undefined) this.pace.sawStep(stepMs)
+  }
+
+  /** Prompt tokens that the server still has to read before it can take up another prompt. */
+  get unreadTokens (): number {
+    let tokens = 0
+    for (const run of this.running.values()) if (run.startedAt === undefined) tokens += run.job.promptTokens
+    return tokens
+  }
+
+  /**
+   * @param share - part of the server's places that may be used here, 0 to 1
+   * @param now - steady time, in milliseconds
+   * @returns how many more jobs it may get
+   */
+  freePlaces (share: number, now: number): number {
+    if (this.health.rests(now)) return 0
+    const places = this.health.isOnTrial ? 1 : Math.max(1, Math.ceil(this.server.slots * share))
+    return Math.max(0, places - this.running.size)
+  }
+
+  /**
+   * Estimates how late a job's first event or answer would be here.
+   *
+   * @param job - asks for a place
+   * @param now - steady time, in milliseconds
+   * @returns the estimate in milliseconds, failures weighed in
+   */
+  cost (job: Job, now: number): number {
+    const own = job.promptTokens > 0
+      ? this.pace.firstEventMs(this.unreadTokens + job.promptTokens)
+      : this.pace.stepMs * (1 + this.running.size / this.server.slots)
+    const way = job.dataCentre === this.server.dataCentre ? 0 : OTHER_DATA_CENTRE_MS
+    const failures = this.health.failureShare(now) * FAILURE_OBJECTIVES * job.objectiveMs
+    return own + way + failures + RUNNING_MS * this.running.size
+  }
+}
--- /dev/null
+++ b/src/schedule/scheduler.ts
@@ -0,0 +1,250 @@
+import { type BackendServer, sameIncarnation } from '../fleet/index.js'
+import type { Organisation } from '../routing/index.js'
+import type { Tolerance } from './allowance.js'
+import { Allowances } from './allowances.js'
+import { type Effect, Refusal } from './effect.js'
+import type { Job } from './job.js'
+import { Line } from './line.js'
+import { Load } from './load.js'
+import type { Outcome } from './outcome.js'
+import { patienceMs, retryAfterMs } from './patience.js'
+import { type RepeatBounds, Repeats } from './repeats.js'
+
+interface Lane {
+  readonly line: Line
+  readonly repeats: Repeats
+}
+
+/**
+ * Decides which server each job gets and when. It sees the work of all hosts
+ * that ask it, does no input or output, and is given the time. All of it may be
+ * lost: hosts tell their running work to the next one.
+ */
+export class Scheduler {
+  private readonly loads = new Map<string, Load>()
+  private readonly lanes = new Map<string, Lane>()
+  private readonly allowances: Allowances
+  private part = 1
+
+  /**
+   * @param bounds - what bounds repeats
+   * @param tolerance - by how much allowances may be overdrawn
+   */
+  constructor (private readonly bounds: RepeatBounds, tolerance: Tolerance) {
+    this.allowances = new Allowances(tolerance)
+  }
+
+  /**
+   * Sets the servers that may get work. Running work of others goes on.
+   *
+   * @param servers - all of them
+   */
+  setServers (servers: readonly BackendServer[]): void {
+    const ids = new Set(servers.map(server => server.id))
+    for (const id of this.loads.keys()) if (!ids.has(id)) this.loads.delete(id)
+    for (const server of servers) {
+      const known = this.loads.get(server.id)
+      if (known !== undefined && sameIncarnation(known.server, server)) known.server = server
+      else this.loads.set(server.id, new Load(server))
+    }
+  }
+
+  /**
+   * Sets whose allowances are kept.
+   *
+   * @param organisations - all of them
+   * @param now - steady time, in milliseconds
+   */
+  setOrganisations (organisations: readonly Organisation[], now: number): void {
+    this.allowances.setOrganisations(organisations, now)
+  }
+
+  /**
+   * Sets which part of places, allowances and budgets may be used here.
+   *
+   * @param part - the part of all hosts whose work is seen here, above 0 and up to 1
+   * @param now - steady time, in milliseconds
+   */
+  setPart (part: number, now: number): void {
+    if (part === this.part) return
+    this.part = part
+    this.allowances.setPart(part, now)
+  }
+
+  /**
+   * Takes a job that asks for a place.
+   *
+   * @param job - the job
+   * @param now - steady time, in milliseconds
+   * @returns what is to be done, perhaps about other jobs too
+   */
+  ask (job: Job, now: number): Effect[] {
+    const lane = this.laneOf(job.service)
+    if (job.isRepeat && !lane.repeats.take(this.part, now)) return [this.refuse(job, Refusal.budget, 0)]
+    if (!job.isCharged) {
+      const waitMs = this.allowances.take(job.organisation, job.units, now)
+      if (waitMs > 0) return [{ kind: 'refuse', job: job.id, reason: Refusal.allowance, retryAfterMs: waitMs }]
+      lane.repeats.sawFirst(now)
+    }
+    lane.line.add(job)
+    return this.serve(job.service, now)
+  }
+
+  /**
+   * Takes over a job that runs already.
+   *
+   * @param job - the job
+   * @param server - the id of the server that runs it
+   * @param hasStarted - whether its first event came
+   * @param now - steady time, in milliseconds
+   */
+  adopt (job: Job, server: string, hasStarted: boolean, now: number): void {
+    const load = this.loads.get(server)
+    if (load === undefined) return
+    load.begin(job, now)
+    if (hasStarted) load.running.get(job.id)!.startedAt = now
+  }
+
+  /**
+   * Tells that a job's first event came.
+   *
+   * @param job - the job's id
+   * @param server - the server's id
+   * @param now - steady time, in milliseconds
+   * @returns what is to be done
+   */
+  started (job: string, server: string, now: number): Effect[] {
+    const load = this.loads.get(server)
+    load?.started(job, now)
+    return load === undefined ? [] : this.serve(load.server.service, now)
+  }
+
+  /**
+   * Tells that a job is off its server.
+   *
+   * @param job - the job's id
+   * @param server - the server's id
+   * @param outcome - what became of it
+   * @param stepMs - mean pause between its events or length of the call, if known; in milliseconds
+   * @param now - steady time, in milliseconds
+   * @returns what is to be done
+   */
+  ended (job: string, server: string, outcome: Outcome, stepMs: number | undefined, now: number): Effect[] {
+    const load = this.loads.get(server)
+    if (load === undefined) return []
+    load.end(job, outcome, stepMs, now)
+    return this.serve(load.server.service, now)
+  }
+
+  /**
+   * Takes back a job that waits.
+   *
+   * @param job - the job's id
+   * @param service - the job's service
+   */
+  withdraw (job: string, service: string): void {
+    const waiting = this.lanes.get(service)?.line.remove(job)
+    if (waiting !== undefined) this.giveBack(waiting)
+  }
+
+  /**
+   * Takes away all jobs that a predicate names, as when a host is lost.
+   *
+   * @param isGone - whether a job of this id is gone
+   */
+  forget (isGone: (id: string) => boolean): void {
+    for (const load of this.loads.values()) {
+      for (const id of load.running.keys()) if (isGone(id)) load.running.delete(id)
+    }
+    for (const { line } of this.lanes.values()) {
+      for (const job of line.list()) if (isGone(job.id)) line.remove(job.id)
+    }
+  }
+
+  /**
+   * Looks at all waiting jobs again.
+   *
+   * @param now - steady time, in milliseconds
+   * @returns what is to be done
+   */
+  tick (now: number): Effect[] {
+    return [...this.lanes.keys()].flatMap(service => this.serve(service, now))
+  }
+
+  /** How many jobs wait. */
+  get waiting (): number {
+    let count = 0
+    for (const { line } of this.lanes.values()) count += line.size
+    return count
+  }
+
+  /** @returns the state, for a dump */
+  dump (): unknown {
+    return {
+      part: this.part,
+      waiting: [...this.lanes].map(([service, lane]) => ({ service, jobs: lane.line.size })),
+      servers: [...this.loads].map(([id, load]) => ({
+        id,
+        service: load.server.service,
+        running: load.running.size,
+        unreadTokens: load.unreadTokens,
+        tokenMs: load.pace.tokenMs,
+        stepMs: load.pace.stepMs
+      }))
+    }
+  }
+
+  /** Grants places in the order of the line and refuses those that waited too long. */
+  private serve (service: string, now: number): Effect[] {
+    const lane = this.lanes.get(service)
+    if (lane === undefined || lane.line.size === 0) return []
+    const loads = [...this.loads.values()].filter(load => load.server.service === service)
+    const effects: Effect[] = []
+    for (const job of lane.line.list()) {
+      const load = this.choose(loads, job, now)
+      if (load !== undefined) {
+        lane.line.remove(job.id)
+        load.begin(job, now)
+        effects.push({ kind: 'grant', job: job.id, server: load.server.id })
+      } else if (loads.length === 0) {
+        lane.line.remove(job.id)
+        effects.push(this.refuse(job, Refusal.noServer, retryAfterMs(job, now)))
+      } else if (now - job.arrivedAt >= patienceMs(job)) {
+        lane.line.remove(job.id)
+        effects.push(this.refuse(job, Refusal.capacity, retryAfterMs(job, now)))
+      }
+    }
+    return effects
+  }
+
+  private choose (loads: readonly Load[], job: Job, now: number): Load | undefined {
+    let best: Load | undefined
+    let lowest = Infinity
+    for (const load of loads) {
+      if (job.avoided.includes(load.server.id) || load.freePlaces(this.part, now) === 0) continue
+      const cost = load.cost(job, now)
+      if (cost >= lowest) continue
+      best = load
+      lowest = cost
+    }
+    return best
+  }
+
+  private refuse (job: Job, reason: Refusal, retryAfter: number): Effect {
+    this.giveBack(job)
+    return { kind: 'refuse', job: job.id, reason, retryAfterMs: retryAfter }
+  }
+
+  private giveBack (job: Job): void {
+    if (!job.isCharged) this.allowances.giveBack(job.organisation, job.units)
+  }
+
+  private laneOf (service: string): Lane {
+    let lane = this.lanes.get(service)
+    if (lane === undefined) {
+      lane = { line: new Line(), repeats: new Repeats(this.bounds) }
+      this.lanes.set(service, lane)
+    }
+    return lane
+  }
+}
--- /dev/null
+++ b/src/store/follower.ts
@@ -0,0 +1,99 @@
+import type Logger from 'bunyan'
+import type { Clock } from '../base/index.js'
+import type { StoreFailure } from './failure.js'
+import type { RowTaker, Store } from './store.js'
+
+/** Longest wait of one call for changes, in milliseconds: bounds how long a silent connection goes unseen. */
+const WAIT_MS = 10_000
+
+/** Pause after changes, in milliseconds: bounds the calls that a storm of changes costs. */
+const CHANGES_PAUSE_MS = 200
+
+/** First and longest pause after a failed call, in milliseconds: the longest is a part of the bounds on changes. */
+const FIRST_RETRY_MS = 100
+const LONGEST_RETRY_MS = 800
+
+/** Keeps up with one table. */
+export class Follower {
+  private isRunning = true
+  private after: number | undefined
+  private failures = 0
+
+  /**
+   * @param store - the store
+   * @param table - the table's name
+   * @param taker - is told what the table holds
+   * @param clock - waits
+   * @param log - told when the store is lost and regained
+   */
+  constructor (
+    private readonly store: Store,
+    private readonly table: string,
+    private readonly taker: RowTaker,
+    private readonly clock: Clock,
+    private readonly log: Logger
+  ) {
+    void this.run()
+  }
+
+  /** Whether the latest call was answered. */
+  get isCurrent (): boolean {
+    return this.failures === 0 && this.after !== undefined
+  }
+
+  /** Stops; a call that waits is let go. */
+  close (): void {
+    this.isRunning = false
+  }
+
+  private async run (): Promise<void> {
+    while (this.isRunning) {
+      const changed = this.after === undefined ? await this.readAll() : await this.readOn(this.after)
+      if (changed === undefined) {
+        const pause = Math.min(FIRST_RETRY_MS * 2 ** (this.failures - 1), LONGEST_RETRY_MS)
+        await this.clock.sleep(pause)
+      } else if (changed) {
+        await this.clock.sleep(CHANGES_PAUSE_MS)
+      }
+    }
+  }
+
+  /** @returns whether anything came, or undefined after a failure */
+  private async readAll (): Promise<boolean | undefined> {
+    const listed = await this.store.list(this.table)
+    if (!this.isRunning) return false
+    if (listed.isErr()) return this.failed(listed.error)
+    this.succeeded()
+    this.after = listed.value.revision
+    this.taker.all(listed.value.rows, listed.value.revision)
+    return false
+  }
+
+  private async readOn (after: number): Promise<boolean | undefined> {
+    const changes = await this.store.changes(this.table, after, WAIT_MS)
+    if (!this.isRunning) return false
+    if (changes.isErr()) {
+      if (changes.error.code !== 'forgotten') return this.failed(changes.error)
+      this.after = undefined
+      return true
+    }
+    this.succeeded()
+    this.after = Math.max(after, changes.value.revision)
+    for (const row of changes.value.rows) this.taker.changed(row)
+    return changes.value.rows.length > 0
+  }
+
+  private failed (failure: StoreFailure): undefined {
+    this.failures++
+    if (this.failures === 1) {
+      this.log.warn({ event: 'store-lost', table: this.table, reason: failure.message }, 'store-lost')
+    }
+  }
+
+  private succeeded (): void {
+    if (this.failures === 0) return
+    this.log.info({ event: 'store-regained', table: this.table, failures: this.failures }, 'store-regained')
+    this.failures = 0
+    this.taker.returned()
+  }
+}
--- /dev/null
+++ b/src/store/index.ts
@@ -0,0 +1,5 @@
+/** The platform's store of rows, as the product uses it. */
+export { type StoreCode, StoreFailure } from './failure.js'
+export type { Row, Rows, RowWrite } from './row.js'
+export type { RowTaker, Store } from './store.js'
+export { Follower } from './follower.js'
--- /dev/null
+++ b/src/store/store.ts
@@ -0,0 +1,42 @@
+import type { Result } from 'neverthrow'
+import type { StoreFailure } from './failure.js'
+import type { Row, Rows, RowWrite } from './row.js'
+
+/** The platform's store of rows. */
+export interface Store {
+  /**
+   * Reads a whole table as of one moment.
+   *
+   * @param table - its name
+   * @returns the rows in the order of their keys
+   */
+  list (table: string): Promise<Result<Rows, StoreFailure>>
+
+  /**
+   * Waits for changes of a table.
+   *
+   * @param table - its name
+   * @param after - the revision up to which changes are known
+   * @param waitMs - the longest wait at the store, in milliseconds
+   * @returns the changes in order; none if the wait passed without any
+   */
+  changes (table: string, after: number, waitMs: number): Promise<Result<Rows, StoreFailure>>
+
+  /**
+   * Writes rows, all or none.
+   *
+   * @param writes - the changes, in one transaction
+   * @returns the new revision; on a conflict the failure
+   */
+  write (writes: readonly RowWrite[]): Promise<Result<number, StoreFailure>>
+}
+
+/** What a follower of a table tells. */
+export interface RowTaker {
+  /** All rows of the table as of a revision. */
+  all (rows: readonly Row[], revision: number): void
+  /** A change, in order. */
+  changed (row: Row): void
+  /** The store answers again after it was away. */
+  returned (): void
+}
