--- a/src/forward/answer.ts
+++ b/src/forward/answer.ts
@@ -17,6 +17,10 @@
     private readonly isClosing: () => boolean
   ) {
     response.sendDate = false
+    response.on('finish', () => {
+      // An answer that was begun before the stop did not announce the end of its connection.
+      if (isClosing()) response.socket?.end()
+    })
   }
 
   /** Whether the head was sent. */
@@ -34,8 +38,10 @@
    *
    * @param status - the status
    * @param headers - a flat list of names and values
+   * @param isUnframed - whether only the end of the connection tells the end of the answer
    */
-  begin (status: number, headers: RawHeaders): void {
+  begin (status: number, headers: RawHeaders, isUnframed: boolean): void {
+    if (isUnframed) this.endWithConnection()
     this.head(status, [...headers])
   }
 
@@ -63,10 +69,15 @@
    * @param status - the status
    * @param headers - a flat list of names and values
    * @param body - the body
+   * @param isUnframed - whether only the end of the connection tells the end of the answer
    */
-  whole (status: number, headers: RawHeaders, body: Buffer): void {
+  whole (status: number, headers: RawHeaders, body: Buffer, isUnframed = false): void {
     if (this.isOver) return
-    this.head(status, [...headers, 'Content-Length', String(body.length)])
+    if (isUnframed) {
+      this.begin(status, headers, true)
+    } else {
+      this.head(status, [...headers, 'Content-Length', String(body.length)])
+    }
     this.response.end(body)
   }
 
@@ -89,6 +100,12 @@
     this.response.destroy()
   }
 
+  /** A server that states no length may have broken off: the answer must not look more complete than it came. */
+  private endWithConnection (): void {
+    this.response.shouldKeepAlive = false
+    this.response.useChunkedEncodingByDefault = false
+  }
+
   private head (status: number, headers: string[]): void {
     if (this.isClosing()) headers.push('Connection', 'close')
     this.response.writeHead(status, headers)
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -153,7 +153,7 @@
   private done (delivery: Delivery, result: Result | undefined): void {
     this.ticket?.ended(Outcome.done, delivery.stepMs)
     if (result === undefined) this.answer.end()
-    else this.answer.whole(result.status, result.headers, result.body)
+    else this.answer.whole(result.status, result.headers, result.body, result.isUnframed)
     this.log('answered', { server: delivery.server.id, ms: this.context.clock.now() - this.request.arrivedAt })
     this.over()
   }
@@ -198,7 +198,7 @@
   private conclude (status: number, reason: string, retryAfterMs = RETRY_AFTER_MS): void {
     const { answer, failure } = this
     if (answer.isBegun) answer.cut()
-    else if (failure !== undefined) answer.whole(failure.status, failure.headers, failure.body)
+    else if (failure !== undefined) answer.whole(failure.status, failure.headers, failure.body, failure.isUnframed)
     else if (!this.mayHaveRun) answer.own(Status.unavailable, reason, retryAfterMs)
     else answer.own(status === Status.unavailable ? Status.badGateway : status, reason)
     this.log('gave-up', { status, reason })
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -21,4 +21,6 @@
   deployment (): Deployment | undefined
   /** @returns whether connections are to end after their next answer */
   isClosing (): boolean
+  /** @returns whether requests are still taken */
+  isTaking (): boolean
 }
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -5,7 +5,7 @@
 import type { CallerRequest } from './callerrequest.js'
 import type { Channel } from './channel.js'
 import type { ForwardContext } from './context.js'
-import { endToEnd, headerOf, type RawHeaders } from './headers.js'
+import { endToEnd, headerOf, isUnframed, type RawHeaders } from './headers.js'
 import { type AnswerTaker, Sending } from './sending.js'
 import type { Sequence } from './sequence.js'
 import { Status } from './status.js'
@@ -24,6 +24,8 @@
   readonly status: number
   readonly headers: RawHeaders
   readonly body: Buffer
+  /** Whether only the end of the connection told the end of the answer. */
+  readonly isUnframed: boolean
 }
 
 /** Is told how a delivery goes. */
@@ -55,6 +57,7 @@
   private events = 0
   private status = 0
   private headers: RawHeaders = []
+  private isUnframed = false
   private readonly pieces: Buffer[] = []
   private bytes = 0
   private passesEvents = false
@@ -119,6 +122,7 @@
     }
     this.status = status
     this.headers = endToEnd(headers, REWRITTEN)
+    this.isUnframed = isUnframed(headers)
     this.passesEvents = route.repeat === Repeat.stream && status >= 200 && status < 300
     if (!this.passesEvents) this.hear()
   }
@@ -145,7 +149,8 @@
       this.watcher.ended(this, Outcome.done, undefined)
     } else {
       this.heardAt = this.context.clock.now()
-      const result = { status: this.status, headers: this.headers, body: Buffer.concat(this.pieces) }
+      const { status, headers, isUnframed } = this
+      const result = { status, headers, isUnframed, body: Buffer.concat(this.pieces) }
       this.watcher.ended(this, this.outcomeOf(), result)
     }
   }
@@ -179,7 +184,7 @@
 
   /** An answer keeps the headers of its first server. */
   private begin (): void {
-    if (!this.answer.isBegun) this.answer.begin(this.status, this.headers)
+    if (!this.answer.isBegun) this.answer.begin(this.status, this.headers, this.isUnframed)
   }
 
   private hear (): void {
--- a/src/forward/headers.ts
+++ b/src/forward/headers.ts
@@ -41,3 +41,11 @@
   if (value === undefined) return new Set()
   return new Set(value.split(',').map(name => name.trim().toLowerCase()))
 }
+
+/**
+ * @param headers - the headers of an answer
+ * @returns whether only the end of the connection tells the end of its body
+ */
+export function isUnframed (headers: RawHeaders): boolean {
+  return headerOf(headers, 'content-length') === undefined && headerOf(headers, 'transfer-encoding') === undefined
+}
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -99,6 +99,10 @@
     this.active.add(response)
     response.on('close', () => this.active.delete(response))
     const deployment = this.context.deployment()
+    if (!this.context.isTaking()) {
+      this.reject(message, answer, Status.unavailable, 'this host stops', 0)
+      return
+    }
     if (deployment === undefined) {
       this.reject(message, answer, Status.unavailable, 'no deployment is known yet', UNKNOWN_RETRY_MS)
       return
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -39,6 +39,7 @@
   private deployment: Deployment | undefined
   private hasServers = false
   private isStopping = false
+  private isTaking = true
   private refreshedAt = 0
 
   /**
@@ -71,7 +72,8 @@
       random: new SystemRandom(),
       log,
       deployment: () => this.deployment,
-      isClosing: () => this.isStopping
+      isClosing: () => this.isStopping,
+      isTaking: () => this.isTaking
     })
   }
 
@@ -122,12 +124,11 @@
     void this.membership.leave()
     this.choice.setMembers(this.membership.list())
     const endAt = startedAt + this.settings.graceMs - FORCE_MARGIN_MS
-    let isIdleStopped = false
     while (this.clock.now() < endAt) {
       await this.clock.sleep(DRAIN_POLL_MS)
       if (this.clock.now() - startedAt < LEAVING_MS) continue
-      if (!isIdleStopped) this.ingress.stopIdle()
-      isIdleStopped = true
+      if (this.isTaking) this.ingress.stopIdle()
+      this.isTaking = false
       if (this.ingress.size === 0) break
     }
     this.log.info({ event: 'stopped', requests: this.ingress.size }, 'stopped')
