--- a/src/dispatch/choice.ts
+++ b/src/dispatch/choice.ts
@@ -1,6 +1,8 @@
 import { type Clock, Ranking } from '../base/index.js'
 import type { Dispatcher } from './dispatcher.js'
+import type { Reply } from './dispatch_pb.js'
 import { askFrame } from './frames.js'
+import type { Gossip } from './gossip.js'
 import type { Hub } from './hub.js'
 import { Link } from './link.js'
 import type { Member } from './member.js'
@@ -40,6 +42,7 @@
    * @param ip - the IP number that it calls from
    * @param hub - this host's own scheduler
    * @param dispatcher - asks the scheduler that is chosen
+   * @param gossip - tells other hosts what they lack
    * @param clock - steady time
    * @param onChange - told the name of each new choice and why the one before ended
    */
@@ -48,6 +51,7 @@
     private readonly ip: string,
     private readonly hub: Hub,
     private readonly dispatcher: Dispatcher,
+    private readonly gossip: Gossip,
     private readonly clock: Clock,
     private readonly onChange: (host: string, reason: string) => void
   ) {
@@ -74,6 +78,11 @@
     return this.linkedTo?.host ?? this.host
   }
 
+  /** Tells the chosen host what this one knows of the store. */
+  announce (): void {
+    if (this.link !== undefined) this.ping(this.link)
+  }
+
   /** Looks at the links again, since time has passed. */
   tick (): void {
     const now = this.clock.now()
@@ -95,7 +104,7 @@
       const pingMs = isWaiting ? WAITING_PING_MS : IDLE_PING_MS
       if (this.dispatcher.oldestUnheardMs(now) > ANSWER_MS) link.close('an ask got no answer')
       else if (link.sentAt - link.heardAt > 0 && now - link.heardAt > pingMs + SILENCE_MS) link.close('it fell silent')
-      else if (now - link.sentAt > pingMs) link.send(askFrame(0, { case: 'ping', value: {} }))
+      else if (now - link.sentAt > pingMs) this.ping(link)
     }
     if (this.opening !== undefined && now - this.opening.since > OPENING_MS) {
       this.opening.link.close('it did not come up')
@@ -120,9 +129,27 @@
   private open (member: Member, now: number): void {
     const link: Link = new Link(this.host, this.ip, member.address, reply => {
       if (this.opening?.link === link) this.useLink(member, link)
-      if (reply.job !== 0 && this.link === link) this.dispatcher.take(reply)
+      if (this.link === link) this.receive(link, reply)
     }, this.clock, reason => this.linkDown(member, link, reason))
     this.opening = { member, link, since: now }
+    this.ping(link)
+  }
+
+  private ping (link: Link): void {
+    link.send(askFrame(0, { case: 'ping', value: { standing: this.gossip.standing() } }))
+  }
+
+  private receive (link: Link, reply: Reply): void {
+    const { body } = reply
+    if (body.case === 'pong') {
+      this.gossip.heard(body.value.standing, behind => link.send(askFrame(0, { case: 'behind', value: behind })))
+    } else if (body.case === 'behind') {
+      link.send(askFrame(0, { case: 'news', value: this.gossip.answer(body.value) }))
+    } else if (body.case === 'news') {
+      this.gossip.take(body.value)
+    } else {
+      this.dispatcher.take(reply)
+    }
   }
 
   private useLink (member: Member, link: Link): void {
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -2,6 +2,7 @@
 import { type Effect, Outcome, type Scheduler } from '../schedule/index.js'
 import type { Ask } from './dispatch_pb.js'
 import { fromPlace, replyFrame } from './frames.js'
+import type { Gossip } from './gossip.js'
 import type { Port, TakeReply } from './port.js'
 
 const OUTCOMES: ReadonlySet<string> = new Set(Object.values(Outcome))
@@ -12,9 +13,10 @@
 
   /**
    * @param scheduler - decides
+   * @param gossip - tells other hosts what they lack
    * @param clock - steady time
    */
-  constructor (readonly scheduler: Scheduler, private readonly clock: Clock) {}
+  constructor (readonly scheduler: Scheduler, private readonly gossip: Gossip, private readonly clock: Clock) {}
 
   /**
    * Takes a host in. An earlier connection of the same host is replaced.
@@ -48,6 +50,13 @@
     return [...this.takers.keys()]
   }
 
+  /** Tells all connected hosts what this one knows of the store. */
+  announce (): void {
+    for (const host of this.takers.keys()) {
+      this.reply(host, 0, { case: 'pong', value: { standing: this.gossip.standing() } })
+    }
+  }
+
   /** Looks at waiting jobs again, since time has passed. */
   tick (): void {
     if (this.scheduler.waiting > 0) this.deliver(this.scheduler.tick(this.clock.now()))
@@ -81,7 +90,14 @@
         this.scheduler.withdraw(id, body.value.service)
         break
       case 'ping':
-        this.reply(host, ask.job, { case: 'pong', value: {} })
+        this.reply(host, 0, { case: 'pong', value: { standing: this.gossip.standing() } })
+        this.gossip.heard(body.value.standing, behind => this.reply(host, 0, { case: 'behind', value: behind }))
+        break
+      case 'behind':
+        this.reply(host, 0, { case: 'news', value: this.gossip.answer(body.value) })
+        break
+      case 'news':
+        this.gossip.take(body.value)
         break
     }
   }
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,4 +1,5 @@
 /** Brings the asks of all hosts to one scheduler. */
+export { Gossip } from './gossip.js'
 export { Hub } from './hub.js'
 export { Dispatcher } from './dispatcher.js'
 export type { Placement, Ticket } from './ticket.js'
--- a/src/dispatch/link.ts
+++ b/src/dispatch/link.ts
@@ -39,7 +39,6 @@
     const transport = createGrpcTransport({ baseUrl, sessionManager: this.sessions, acceptCompression: [] })
     const client = createClient(Dispatch, transport)
     this.send(askFrame(0, { case: 'hello', value: { host } }))
-    this.send(askFrame(0, { case: 'ping', value: {} }))
     void this.run(client.link(this.outbox))
   }
 
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -53,23 +53,6 @@
     return true
   }
 
-  /**
-   * Replaces everything by a complete list as of one revision.
-   *
-   * @param changes - all entries that exist
-   * @param revision - the list is complete up to here
-   * @param now - steady time, in milliseconds
-   */
-  replace (changes: readonly FleetChange[], revision: number, now: number): void {
-    const listed = new Set(changes.map(change => change.id))
-    for (const [id, entry] of this.entries) {
-      if (!listed.has(id) && entry.removedAt === undefined && entry.revision < revision) {
-        this.apply({ id, revision, server: undefined }, now)
-      }
-    }
-    for (const change of changes) this.apply(change, now)
-  }
-
   /**
    * Finds a server that may get new work.
    *
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -94,6 +94,7 @@
       promptTokens: request.promptTokens,
       outputTokens: request.outputTokens,
       arrivedAt: request.arrivedAt,
+      lateAt: request.lateAt,
       objectiveMs: route.objectiveMs,
       pauseMs: route.pauseMs,
       deadlineAt: request.deadlineAt,
@@ -155,7 +156,7 @@
     this.ticket?.ended(Outcome.done, delivery.stepMs)
     if (result === undefined) this.answer.end()
     else this.answer.whole(result.status, result.headers, result.body, result.isUnframed)
-    this.log('answered', { server: delivery.server.id, ms: this.context.clock.now() - this.request.arrivedAt })
+    this.log('answered', { ...delivery.account, ms: Math.round(this.context.clock.now() - this.request.arrivedAt) })
     this.over()
   }
 
--- a/src/forward/callerrequest.ts
+++ b/src/forward/callerrequest.ts
@@ -21,6 +21,8 @@
   readonly lastEvent: number | undefined
   /** Steady time at which it arrived, in milliseconds. */
   readonly arrivedAt: number
+  /** Steady time at which its latency objective passes, in milliseconds. */
+  readonly lateAt: number
   /** Steady time by which its final answer is due, in milliseconds. */
   readonly deadlineAt: number
 }
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -55,6 +55,7 @@
   private heardAt: number
   private firstAt: number | undefined
   private events = 0
+  private longestPauseMs = 0
   private status = 0
   private headers: RawHeaders = []
   private isUnframed = false
@@ -94,6 +95,19 @@
     return this.events > 1 ? (this.heardAt - this.firstAt!) / (this.events - 1) : undefined
   }
 
+  /** What the delivery was like, for the log; times in milliseconds. */
+  get account (): Readonly<Record<string, unknown>> {
+    const firstMs = this.firstAt === undefined ? undefined : Math.round(this.firstAt - this.sentAt)
+    return {
+      server: this.server.id,
+      waitedMs: Math.round(this.sentAt - this.request.arrivedAt),
+      firstMs,
+      longestPauseMs: Math.round(this.longestPauseMs),
+      events: this.events,
+      tokens: this.request.promptTokens
+    }
+  }
+
   /** Ends the delivery; the watcher hears no more. */
   abort (): void {
     this.isOver = true
@@ -188,10 +202,14 @@
   }
 
   private hear (): void {
-    this.heardAt = this.context.clock.now()
+    const now = this.context.clock.now()
     this.events++
-    if (this.firstAt !== undefined) return
-    this.firstAt = this.heardAt
+    if (this.firstAt !== undefined) {
+      this.longestPauseMs = Math.max(this.longestPauseMs, now - this.heardAt)
+      this.heardAt = now
+      return
+    }
+    this.heardAt = this.firstAt = now
     this.watcher.started()
   }
 
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -162,7 +162,10 @@
     const headers = message.rawHeaders
     const { route, organisation } = found
     const [promptTokens, outputTokens] = tokensOf(headerOf(headers, names.usage))
-    const leftMs = Number(headerOf(headers, names.deadline) ?? DEFAULT_DEADLINE_MS)
+    const statedMs = Number(headerOf(headers, names.deadline) ?? DEFAULT_DEADLINE_MS)
+    const leftMs = Number.isFinite(statedMs) ? statedMs : DEFAULT_DEADLINE_MS
+    // A caller that came back has less time left than its route allows: that much it has waited before.
+    const waitedMs = Math.max(0, route.timeoutMs - leftMs)
     const lastEvent = headerOf(headers, names.lastEvent)
     return {
       attempt,
@@ -177,7 +180,8 @@
       units: unitsOf(organisation, promptTokens + outputTokens),
       lastEvent: lastEvent === undefined ? undefined : Number(lastEvent),
       arrivedAt,
-      deadlineAt: arrivedAt + Math.min(Number.isFinite(leftMs) ? leftMs : DEFAULT_DEADLINE_MS, route.timeoutMs)
+      lateAt: arrivedAt - waitedMs + route.objectiveMs,
+      deadlineAt: arrivedAt + Math.min(leftMs, route.timeoutMs)
     }
   }
 }
--- /dev/null
+++ b/src/gateway/directory.ts
@@ -0,0 +1,105 @@
+import type Logger from 'bunyan'
+import type { Clock } from '../base/index.js'
+import { Gossip, type Member } from '../dispatch/index.js'
+import { Fleet } from '../fleet/index.js'
+import type { Deployment } from '../routing/index.js'
+import { Follower, Replica, type Row } from '../store/index.js'
+import { Membership } from './membership.js'
+import type { Platform } from './platform.js'
+
+/** Is told when what a directory knows has changed. */
+export interface DirectoryWatcher {
+  deploymentChanged (deployment: Deployment): void
+  serversChanged (): void
+  membersChanged (): void
+}
+
+/** What this host knows of deployment, backend servers and other hosts, from the store and from other hosts. */
+export class Directory {
+  readonly fleet = new Fleet()
+  readonly membership: Membership
+  readonly gossip: Gossip
+  private readonly replicas: readonly Replica[]
+  private followers: readonly Follower[] = []
+  private known: Deployment | undefined
+  private hadServers = false
+
+  /**
+   * @param platform - the store, and what its rows mean
+   * @param self - this host among the members
+   * @param watcher - is told of changes
+   * @param clock - steady time
+   * @param log - told of changes, and when the store is lost and regained
+   */
+  constructor (
+    private readonly platform: Platform,
+    self: Member,
+    private readonly watcher: DirectoryWatcher,
+    private readonly clock: Clock,
+    private readonly log: Logger
+  ) {
+    const { tables } = platform
+    this.membership = new Membership(platform.store, tables.members, self, clock, log)
+    this.replicas = [
+      new Replica(tables.operator, row => this.operatorRow(row)),
+      new Replica(tables.servers, row => this.serverRow(row)),
+      new Replica(tables.members, row => this.memberRow(row))
+    ]
+    this.gossip = new Gossip(this.replicas, clock, () => this.lagged())
+  }
+
+  /** The newest deployment, or undefined if none is known yet. */
+  get deployment (): Deployment | undefined {
+    return this.known
+  }
+
+  /** Whether enough is known to serve requests. */
+  get isReady (): boolean {
+    return this.known !== undefined && this.hadServers
+  }
+
+  /** Starts to follow the store, and tells the other hosts of this one. */
+  start (): void {
+    this.followers = this.replicas.map(replica => {
+      return new Follower(this.platform.store, replica, () => this.storeReturned(replica), this.clock, this.log)
+    })
+    void this.membership.join()
+  }
+
+  /** Stops following the store. */
+  close (): void {
+    for (const follower of this.followers) follower.close()
+  }
+
+  /** Another host knows what the store did not tell this one: the connections to it may be silent. */
+  private lagged (): void {
+    this.log.warn({ event: 'lagging' }, 'lagging')
+    for (const follower of this.followers) follower.restart()
+  }
+
+  private storeReturned (replica: Replica): void {
+    if (replica.table === this.platform.tables.servers) this.fleet.storeReturned(this.clock.now())
+  }
+
+  private operatorRow (row: Row): void {
+    const deployment = this.platform.readDeployment(row)
+    if (deployment === undefined || deployment.revision <= (this.known?.revision ?? -1)) return
+    this.known = deployment
+    this.log.info({ event: 'deployment', revision: deployment.revision }, 'deployment')
+    this.watcher.deploymentChanged(deployment)
+  }
+
+  private serverRow (row: Row): void {
+    const server = this.platform.readServer(row)
+    this.hadServers ||= server !== undefined
+    if (!this.fleet.apply({ id: row.key, revision: row.revision, server }, this.clock.now())) return
+    const { isDraining } = server ?? {}
+    this.log.info({ event: 'server', server: row.key, isDraining, isGone: server === undefined }, 'server')
+    this.watcher.serversChanged()
+  }
+
+  private memberRow (row: Row): void {
+    this.membership.apply(row)
+    this.watcher.membersChanged()
+  }
+}
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -39,32 +39,16 @@
   }
 
   /**
-   * Takes a row unless a newer one of its key is known.
+   * Takes a row that is newer than what is known of its key.
    *
    * @param row - a row of the members' table
    */
   apply (row: Row): void {
-    const known = this.known.get(row.key)
-    if (known !== undefined && known.revision >= row.revision) return
     this.known.set(row.key, { member: readMember(row), revision: row.revision })
     // Another host took this one for gone.
     if (row.key === this.self.host && row.value === undefined && !this.isLeaving) void this.join()
   }
 
-  /**
-   * Takes the whole table.
-   *
-   * @param rows - all rows that exist
-   * @param revision - as of which they are told
-   */
-  replace (rows: readonly Row[], revision: number): void {
-    const listed = new Set(rows.map(row => row.key))
-    for (const [key, known] of this.known) {
-      if (!listed.has(key) && known.revision < revision) this.known.delete(key)
-    }
-    rows.forEach(row => this.apply(row))
-  }
-
   /** Writes this host's row, until it is written. */
   async join (): Promise<void> {
     const value = Buffer.from(JSON.stringify({ address: this.self.address }))
--- a/src/schedule/job.ts
+++ b/src/schedule/job.ts
@@ -15,9 +15,11 @@
   readonly promptTokens: number
   /** Most tokens that it may produce; 0 for plain services. */
   readonly outputTokens: number
-  /** When its caller's wait began. */
+  /** When it arrived at its host. */
   readonly arrivedAt: number
-  /** Latency objective, counted from the arrival; in milliseconds. */
+  /** When its latency objective passes, counted from its caller's first attempt as far as that is known. */
+  readonly lateAt: number
+  /** Latency objective in milliseconds. */
   readonly objectiveMs: number
   /** Longest pause between events that is on time, in milliseconds; 0 for plain services. */
   readonly pauseMs: number
--- a/src/schedule/line.ts
+++ b/src/schedule/line.ts
@@ -30,15 +30,37 @@
     return at === -1 ? undefined : this.jobs.splice(at, 1)[0]
   }
 
-  /** @returns the waiting jobs, first one first; a copy */
-  list (): Job[] {
-    return [...this.jobs]
+  /**
+   * Lists the waiting jobs. Within a rank, jobs that can still be on time go before those that are late already:
+   * as many callers are served, and more of them in time.
+   *
+   * @param now - steady time, in milliseconds
+   * @returns a copy, first one first
+   */
+  list (now: number): Job[] {
+    const ordered: Job[] = []
+    let late: Job[] = []
+    for (const [at, job] of this.jobs.entries()) {
+      const before = this.jobs[at - 1]
+      if (before !== undefined && !sameRank(before, job)) {
+        ordered.push(...late)
+        late = []
+      }
+      if (job.lateAt <= now) late.push(job)
+      else ordered.push(job)
+    }
+    ordered.push(...late)
+    return ordered
   }
 }
 
+function sameRank (a: Job, b: Job): boolean {
+  return a.organisationRank === b.organisationRank && a.rank === b.rank
+}
+
 /** Ranks in the operators' order, those of organisations first; within a rank, whose objective passes first. */
 function goesBefore (a: Job, b: Job): boolean {
   if (a.organisationRank !== b.organisationRank) return a.organisationRank < b.organisationRank
   if (a.rank !== b.rank) return a.rank < b.rank
-  return a.arrivedAt + a.objectiveMs < b.arrivedAt + b.objectiveMs
+  return a.lateAt < b.lateAt
 }
--- a/src/schedule/load.ts
+++ b/src/schedule/load.ts
@@ -23,6 +23,15 @@
 /** Added for each job that runs already, in milliseconds: each one slows the others a little. */
 const RUNNING_MS = 1
 
+/** Part of its objective that a job waits for a server where it holds up nobody. */
+const PATIENT_PART = 0.4
+
+/** Part of the longest pause that is planned for; the rest is for what is not foreseen. */
+const USED_PAUSE_PART = 0.9
+
+/** Most prompt tokens that an engine reads between two events: a usual chunk of 2,048 at each of six steps. */
+const READ_BETWEEN_EVENTS_TOKENS = 6 * 2_048
+
 /** What one backend server has to do, and how well it does it. */
 export class Load {
   readonly pace = new Pace()
@@ -88,6 +97,25 @@
     return Math.max(0, places - this.running.size)
   }
 
+  /**
+   * Tells whether reading a job's prompt would hold up the events of running streams for too long. A job that has
+   * waited for a good part of its objective goes anyway.
+   *
+   * @param job - asks for a place
+   * @param now - steady time, in milliseconds
+   * @returns whether the job should go elsewhere or wait
+   */
+  wouldPause (job: Job, now: number): boolean {
+    if (job.promptTokens === 0 || now - job.arrivedAt > PATIENT_PART * job.objectiveMs) return false
+    let boundMs = Infinity
+    for (const run of this.running.values()) {
+      if (run.startedAt !== undefined && run.job.pauseMs > 0) boundMs = Math.min(boundMs, run.job.pauseMs)
+    }
+    if (boundMs === Infinity) return false
+    const tokens = Math.min(this.unreadTokens + job.promptTokens, READ_BETWEEN_EVENTS_TOKENS)
+    return this.pace.stepMs + tokens * this.pace.tokenMs > USED_PAUSE_PART * boundMs
+  }
+
   /**
    * Estimates how late a job's first event or answer would be here.
    *
@@ -104,3 +132,26 @@
     return own + way + failures + RUNNING_MS * this.running.size
   }
 }
+
+/**
+ * Chooses a server for a job.
+ *
+ * @param loads - the servers of the job's service
+ * @param job - asks for a place
+ * @param share - part of each server's places that may be used here, 0 to 1
+ * @param now - steady time, in milliseconds
+ * @returns the server with a free place where the job costs least, or undefined
+ */
+export function cheapest (loads: readonly Load[], job: Job, share: number, now: number): Load | undefined {
+  let best: Load | undefined
+  let lowest = Infinity
+  for (const load of loads) {
+    if (job.avoided.includes(load.server.id) || load.freePlaces(share, now) === 0) continue
+    if (load.wouldPause(job, now)) continue
+    const cost = load.cost(job, now)
+    if (cost >= lowest) continue
+    best = load
+    lowest = cost
+  }
+  return best
+}
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -5,7 +5,7 @@
 import { type Effect, Refusal } from './effect.js'
 import type { Job } from './job.js'
 import { Line } from './line.js'
-import { Load } from './load.js'
+import { cheapest, Load } from './load.js'
 import type { Outcome } from './outcome.js'
 import { patienceMs, retryAfterMs } from './patience.js'
 import { type RepeatBounds, Repeats } from './repeats.js'
@@ -157,7 +157,7 @@
       for (const id of load.running.keys()) if (isGone(id)) load.running.delete(id)
     }
     for (const { line } of this.lanes.values()) {
-      for (const job of line.list()) if (isGone(job.id)) line.remove(job.id)
+      for (const job of line.list(0)) if (isGone(job.id)) line.remove(job.id)
     }
   }
 
@@ -200,8 +200,8 @@
     if (lane === undefined || lane.line.size === 0) return []
     const loads = [...this.loads.values()].filter(load => load.server.service === service)
     const effects: Effect[] = []
-    for (const job of lane.line.list()) {
-      const load = this.choose(loads, job, now)
+    for (const job of lane.line.list(now)) {
+      const load = cheapest(loads, job, this.part, now)
       if (load !== undefined) {
         lane.line.remove(job.id)
         load.begin(job, now)
@@ -217,19 +217,6 @@
     return effects
   }
 
-  private choose (loads: readonly Load[], job: Job, now: number): Load | undefined {
-    let best: Load | undefined
-    let lowest = Infinity
-    for (const load of loads) {
-      if (job.avoided.includes(load.server.id) || load.freePlaces(this.part, now) === 0) continue
-      const cost = load.cost(job, now)
-      if (cost >= lowest) continue
-      best = load
-      lowest = cost
-    }
-    return best
-  }
-
   private refuse (job: Job, reason: Refusal, retryAfter: number): Effect {
     this.giveBack(job)
     return { kind: 'refuse', job: job.id, reason, retryAfterMs: retryAfter }
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -1,10 +1,11 @@
 import type Logger from 'bunyan'
 import type { Clock } from '../base/index.js'
 import type { StoreFailure } from './failure.js'
-import type { RowTaker, Store } from './store.js'
+import type { Replica } from './replica.js'
+import type { Store } from './store.js'
 
-/** Longest wait of one call for changes, in milliseconds: bounds how long a silent connection goes unseen. */
-const WAIT_MS = 10_000
+/** Longest wait of one call for changes, in milliseconds; other hosts tell sooner of a connection that went silent. */
+const WAIT_MS = 25_000
 
 /** Pause after changes, in milliseconds: bounds the calls that a storm of changes costs. */
 const CHANGES_PAUSE_MS = 200
@@ -18,18 +19,19 @@
   private isRunning = true
   private after: number | undefined
   private failures = 0
+  private calling = new AbortController()
 
   /**
    * @param store - the store
-   * @param table - the table's name
-   * @param taker - is told what the table holds
-   * @param clock - waits
+   * @param replica - takes what the table holds
+   * @param onReturn - told that the store answers again after it was away
+   * @param clock - waits; steady
    * @param log - told when the store is lost and regained
    */
   constructor (
     private readonly store: Store,
-    private readonly table: string,
-    private readonly taker: RowTaker,
+    private readonly replica: Replica,
+    private readonly onReturn: () => void,
     private readonly clock: Clock,
     private readonly log: Logger
   ) {
@@ -41,9 +43,15 @@
     return this.failures === 0 && this.after !== undefined
   }
 
+  /** Asks anew, on another connection, in place of a call that may wait in vain. */
+  restart (): void {
+    this.calling.abort()
+  }
+
   /** Stops; a call that waits is let go. */
   close (): void {
     this.isRunning = false
+    this.calling.abort()
   }
 
   private async run (): Promise<void> {
@@ -60,18 +68,19 @@
 
   /** @returns whether anything came, or undefined after a failure */
   private async readAll (): Promise<boolean | undefined> {
-    const listed = await this.store.list(this.table)
+    const listed = await this.store.list(this.replica.table)
     if (!this.isRunning) return false
     if (listed.isErr()) return this.failed(listed.error)
     this.succeeded()
     this.after = listed.value.revision
-    this.taker.all(listed.value.rows, listed.value.revision)
+    this.replica.replace(listed.value.rows, listed.value.revision, this.clock.now())
     return false
   }
 
   private async readOn (after: number): Promise<boolean | undefined> {
-    const changes = await this.store.changes(this.table, after, WAIT_MS)
-    if (!this.isRunning) return false
+    const calling = this.calling = new AbortController()
+    const changes = await this.store.changes(this.replica.table, after, WAIT_MS, calling.signal)
+    if (!this.isRunning || calling.signal.aborted) return false
     if (changes.isErr()) {
       if (changes.error.code !== 'forgotten') return this.failed(changes.error)
       this.after = undefined
@@ -79,21 +88,21 @@
     }
     this.succeeded()
     this.after = Math.max(after, changes.value.revision)
-    for (const row of changes.value.rows) this.taker.changed(row)
+    for (const row of changes.value.rows) this.replica.apply(row, this.clock.now())
     return changes.value.rows.length > 0
   }
 
   private failed (failure: StoreFailure): undefined {
     this.failures++
     if (this.failures === 1) {
-      this.log.warn({ event: 'store-lost', table: this.table, reason: failure.message }, 'store-lost')
+      this.log.warn({ event: 'store-lost', table: this.replica.table, reason: failure.message }, 'store-lost')
     }
   }
 
   private succeeded (): void {
     if (this.failures === 0) return
-    this.log.info({ event: 'store-regained', table: this.table, failures: this.failures }, 'store-regained')
+    this.log.info({ event: 'store-regained', table: this.replica.table, failures: this.failures }, 'store-regained')
     this.failures = 0
-    this.taker.returned()
+    this.onReturn()
   }
 }
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -1,6 +1,6 @@
 import type { Result } from 'neverthrow'
 import type { StoreFailure } from './failure.js'
-import type { Row, Rows, RowWrite } from './row.js'
+import type { Rows, RowWrite } from './row.js'
 
 /** The platform's store of rows. */
 export interface Store {
@@ -18,9 +18,10 @@
    * @param table - its name
    * @param after - the revision up to which changes are known
    * @param waitMs - the longest wait at the store, in milliseconds
+   * @param signal - ends the call
    * @returns the changes in order; none if the wait passed without any
    */
-  changes (table: string, after: number, waitMs: number): Promise<Result<Rows, StoreFailure>>
+  changes (table: string, after: number, waitMs: number, signal: AbortSignal): Promise<Result<Rows, StoreFailure>>
 
   /**
    * Writes rows, all or none.
@@ -30,13 +31,3 @@
    */
   write (writes: readonly RowWrite[]): Promise<Result<number, StoreFailure>>
 }
-
-/** What a follower of a table tells. */
-export interface RowTaker {
-  /** All rows of the table as of a revision. */
-  all (rows: readonly Row[], revision: number): void
-  /** A change, in order. */
-  changed (row: Row): void
-  /** The store answers again after it was away. */
-  returned (): void
-}
--- /dev/null
+++ b/test/dispatch.test.ts
@@ -0,0 +1,128 @@
+import { afterEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { Ranking, SteadyClock } from '../src/base/index.js'
+import { Choice, Dispatcher, DispatchListener, Gossip, Hub, type Member, type Placement, type Ticket } from '../src/dispatch/index.js'
+import { Outcome, Scheduler } from '../src/schedule/index.js'
+import { Replica, type Row } from '../src/store/index.js'
+import { job, server } from './jobs.js'
+import { WIDE } from './rig.js'
+
+const clock = new SteadyClock()
+
+/** A host with a scheduler, linked to others on loopback; it follows no store. */
+class TestHost {
+  readonly scheduler = new Scheduler(WIDE.repeats, WIDE.tolerance)
+  readonly rows = new Map<string, Row>()
+  readonly replica = new Replica('rows', row => this.rows.set(row.key, row))
+  lags = 0
+  readonly gossip = new Gossip([this.replica], clock, () => { this.lags++ })
+  readonly hub = new Hub(this.scheduler, this.gossip, clock)
+  readonly dispatcher = new Dispatcher(clock)
+  readonly choice: Choice
+  private readonly listener = new DispatchListener(this.hub)
+  private readonly timer: NodeJS.Timeout
+
+  constructor (readonly name: string, ip: string) {
+    this.choice = new Choice(name, ip, this.hub, this.dispatcher, this.gossip, clock, () => undefined)
+    this.timer = setInterval(() => this.tick(), 10)
+  }
+
+  async listen (): Promise<Member> {
+    const port = await this.listener.listen('127.0.0.1', 0)
+    return { host: this.name, address: `127.0.0.1:${port}` }
+  }
+
+  /** Stops everything but the sockets' own answers, as a frozen host does. */
+  freeze (): void {
+    clearInterval(this.timer)
+    this.hub.connect = () => ({ send: () => undefined })
+    for (const host of this.hub.hosts) this.hub.disconnect(host)
+  }
+
+  close (): void {
+    clearInterval(this.timer)
+    this.choice.close()
+    this.listener.close()
+  }
+
+  private tick (): void {
+    this.gossip.tick()
+    this.choice.tick()
+    this.hub.tick()
+  }
+}
+
+async function until (holds: () => boolean): Promise<void> {
+  for (let i = 0; i < 400 && !holds(); i++) await new Promise(resolve => setTimeout(resolve, 10))
+  expect(holds()).toEqual(true)
+}
+
+function ask (host: TestHost, stated: Parameters<typeof job>[1] = {}): { ticket: Ticket, placements: Placement[] } {
+  const placements: Placement[] = []
+  const now = clock.now()
+  const wanted = job('', { arrivedAt: now, deadlineAt: now + 5_000, ...stated })
+  return { ticket: host.dispatcher.request(wanted, placement => placements.push(placement)), placements }
+}
+
+describe('hosts that share a scheduler', () => {
+  let hosts: TestHost[] = []
+  afterEach(() => { hosts.forEach(host => host.close()) })
+
+  /** Starts hosts that know each other, in the order of the ranking. */
+  async function start (count: number): Promise<TestHost[]> {
+    const names = Array.from({ length: count }, (_, at) => `host-${at}`)
+    const ranked = new Ranking(names).top('scheduler', count)
+    hosts = ranked.map(name => new TestHost(name, '127.0.0.1'))
+    const members: Member[] = []
+    for (const host of hosts) members.push(await host.listen())
+    for (const host of hosts) {
+      host.scheduler.setServers([server('a', { slots: 2 })])
+      host.choice.setMembers(members)
+    }
+    await until(() => hosts.every(host => host.choice.current === ranked[0]))
+    return hosts
+  }
+
+  it('never give more places than a server has, wherever the asks come from', async () => {
+    const [first, second, third] = await start(3)
+    const asked = [first!, second!, third!, third!].map(host => ask(host))
+    await until(() => asked.filter(({ placements }) => placements.length === 1).length === 2)
+    await new Promise(resolve => setTimeout(resolve, 50))
+    expect(asked.filter(({ placements }) => placements.length === 1).length).toEqual(2)
+    for (const { ticket, placements } of asked) if (placements.length === 1) ticket.ended(Outcome.done)
+    await until(() => asked.every(({ placements }) => placements.length === 1))
+  })
+
+  it('ask the next one when the first is gone, and tell it what runs', async () => {
+    const [first, second, third] = await start(3)
+    const running = ask(third!)
+    await until(() => running.placements.length === 1)
+    first!.close()
+    await until(() => third!.choice.current === second!.name && second!.choice.current === second!.name)
+    const more = [ask(third!), ask(third!)]
+    await until(() => more.some(({ placements }) => placements.length === 1))
+    await new Promise(resolve => setTimeout(resolve, 50))
+    expect(more.filter(({ placements }) => placements.length === 1).length).toEqual(1)
+  })
+
+  it('place a request within part of its objective when the scheduler falls silent', async () => {
+    const [first, second] = await start(2)
+    first!.freeze()
+    const askedAt = clock.now()
+    const { placements } = ask(second!)
+    await until(() => placements.length === 1)
+    expect(clock.now() - askedAt < 300).toEqual(true)
+  })
+
+  it('bring rows to a host that the store turns away', async () => {
+    const [first, second] = await start(2)
+    first!.replica.apply({ table: 'rows', key: 'k', value: Buffer.from('v'), revision: 7 }, clock.now())
+    first!.hub.announce()
+    await until(() => second!.rows.get('k')?.value?.toString() === 'v')
+    expect(second!.lags).toEqual(1)
+    second!.replica.apply({ table: 'rows', key: 'k', value: undefined, revision: 9 }, clock.now())
+    second!.choice.announce()
+    await until(() => first!.rows.get('k')?.revision === 9)
+    expect(first!.rows.get('k')?.value).toEqual(undefined)
+  })
+})
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -1,7 +1,7 @@
 import { createServer, connect, type Socket, type AddressInfo, type Server } from 'node:net'
 import { createLogger } from 'bunyan'
 import { Lifecycle, SeededRandom, SteadyClock } from '../src/base/index.js'
-import { Dispatcher, Hub } from '../src/dispatch/index.js'
+import { Dispatcher, Gossip, Hub } from '../src/dispatch/index.js'
 import { type BackendServer, Fleet } from '../src/fleet/index.js'
 import { Channels, type HeaderNames, Ingress } from '../src/forward/index.js'
 import { Deployment, type DeploymentParts, Repeat, type Route, Unit } from '../src/routing/index.js'
@@ -144,7 +144,7 @@
   }
 
   async listen (current: Deployment): Promise<void> {
-    const hub = new Hub(this.scheduler, this.clock)
+    const hub = new Hub(this.scheduler, new Gossip([], this.clock, () => undefined), this.clock)
     const dispatcher = new Dispatcher(this.clock)
     dispatcher.use(hub.connect('h', reply => dispatcher.take(reply)))
     const channels = new Channels()
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -1,39 +1,10 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import type { BackendServer } from '../src/fleet/index.js'
-import { type Effect, type Job, Outcome, Refusal, Scheduler } from '../src/schedule/index.js'
+import { type Effect, Outcome, Refusal, Scheduler } from '../src/schedule/index.js'
+import { job, server } from './jobs.js'
 import { organisation, WIDE } from './rig.js'
 
-/** @returns a job with what is stated, the rest being usual */
-function job (id: string, stated: Partial<Job> = {}): Job {
-  return {
-    id,
-    service: 's',
-    organisationRank: 0,
-    rank: 1,
-    organisation: undefined,
-    units: 1,
-    promptTokens: 1_000,
-    outputTokens: 300,
-    arrivedAt: 0,
-    objectiveMs: 600,
-    pauseMs: 250,
-    deadlineAt: 12_000,
-    dataCentre: 'd',
-    avoided: [],
-    isRepeat: false,
-    isCharged: false,
-    ...stated
-  }
-}
-
-/** @returns a server with what is stated, the rest being usual */
-function server (id: string, stated: Partial<BackendServer> = {}): BackendServer {
-  return {
-    id, born: 1, service: 's', address: `${id}:1`, dataCentre: 'd', version: 'v', slots: 1, isDraining: false, coldMs: 0, ...stated
-  }
-}
-
 function schedulerOf (...servers: BackendServer[]): Scheduler {
   const scheduler = new Scheduler(WIDE.repeats, WIDE.tolerance)
   scheduler.setServers(servers)
@@ -75,6 +46,46 @@
   })
 })
 
+describe('a burst that is over capacity', () => {
+  // Load: traffic doubles for seconds; callers that were refused come back among those that come for the first time.
+  it('gives places to callers that can still be on time before those that are late already', () => {
+    const scheduler = schedulerOf(server('a'))
+    scheduler.ask(job('running'), 0)
+    scheduler.ask(job('back', { lateAt: 5, arrivedAt: 10 }), 10)
+    scheduler.ask(job('new', { arrivedAt: 20 }), 20)
+    expect(granted(scheduler.ended('running', 'a', Outcome.done, undefined, 30))).toEqual(['new'])
+    expect(granted(scheduler.ended('new', 'a', Outcome.done, undefined, 40))).toEqual(['back'])
+  })
+})
+
+describe('a long prompt', () => {
+  /** Teaches the pace of a slow server and leaves one stream running there. */
+  function withStreamOnSlow (): Scheduler {
+    const scheduler = schedulerOf(server('slow', { slots: 9 }))
+    scheduler.ask(job('learn', { promptTokens: 4_000 }), 0)
+    scheduler.started('learn', 'slow', 200)
+    scheduler.ended('learn', 'slow', Outcome.done, 60, 200)
+    scheduler.ask(job('stream', { promptTokens: 100 }), 200)
+    scheduler.started('stream', 'slow', 210)
+    return scheduler
+  }
+
+  // Load: long affidavits among many running reviews, on engines of unlike speed.
+  it('does not go where it would hold up running streams beyond their pause', () => {
+    const scheduler = withStreamOnSlow()
+    const long = job('long', { promptTokens: 8_000, arrivedAt: 220 })
+    expect(granted(scheduler.ask(long, 220))).toEqual([])
+    scheduler.setServers([server('slow', { slots: 9 }), server('fast', { slots: 9 })])
+    expect(scheduler.tick(230)).toEqual([{ kind: 'grant', job: 'long', server: 'fast' }])
+  })
+
+  it('goes there once it has waited for a good part of its objective', () => {
+    const scheduler = withStreamOnSlow()
+    scheduler.ask(job('long', { promptTokens: 8_000, arrivedAt: 220 }), 220)
+    expect(granted(scheduler.tick(500))).toEqual(['long'])
+  })
+})
+
 describe('a refusal', () => {
   it('comes for lower ranks while their callers still have time, and says when to come back', () => {
     const scheduler = schedulerOf(server('a'))
