--- a/src/schedule/allowance.ts
+++ b/src/schedule/allowance.ts
@@ -12,6 +12,15 @@
 /** Part of the tolerance that is given away; the rest covers the moments in which two schedulers count. */
 const GIVEN_PART = 0.6
 
+/**
+ * Part of the bucket that each rank leaves to the ranks above it, beginning with the highest: when an allowance runs
+ * short, lower ranks are refused first, and a long prompt of the highest rank still finds enough.
+ */
+const RESERVED_PARTS = [0, 0.2, 0.3]
+
+/** Requests of up to this part of the bucket go before any reserve: refusing them would save next to nothing. */
+const SMALL_PART = 0.0025
+
 /** Part of its burst that an allowance holds when its use before is not known. */
 const UNKNOWN_LEVEL = 0.25
 
@@ -54,14 +63,17 @@
    * Takes units if there are enough.
    *
    * @param units - how many
+   * @param rank - of the work that uses them; 0 is the highest
    * @param now - steady time, in milliseconds
    * @returns 0 if they were taken, else the time until there are enough, in milliseconds
    */
-  take (units: number, now: number): number {
+  take (units: number, rank: number, now: number): number {
     if (this.organisation.ratePerS <= 0) return 0
     this.fill(now)
     // A request of more units than fit into the bucket passes when it is full, and leaves a debt.
-    const wanted = Math.min(units, this.most)
+    const isSmall = units <= SMALL_PART * this.most
+    const reserved = isSmall ? 0 : RESERVED_PARTS[Math.min(rank, RESERVED_PARTS.length - 1)]! * this.most
+    const wanted = Math.min(units + reserved, this.most)
     if (this.level >= wanted) {
       this.level -= units
       return 0
--- a/src/schedule/allowances.ts
+++ b/src/schedule/allowances.ts
@@ -38,10 +38,11 @@
    *
    * @param name - the organisation's name, if any
    * @param units - how many
+   * @param rank - of the work that uses them; 0 is the highest
    * @param now - steady time, in milliseconds
    * @returns 0 if they were taken, else the time until there are enough, in milliseconds
    */
-  take (name: string | undefined, units: number, now: number): number {
+  take (name: string | undefined, units: number, rank: number, now: number): number {
     const organisation = name === undefined ? undefined : this.organisations.get(name)
     if (organisation === undefined) return 0
     let allowance = this.known.get(organisation.name)
@@ -49,7 +50,7 @@
       allowance = new Allowance(organisation, this.tolerance, this.part, now)
       this.known.set(organisation.name, allowance)
     }
-    return allowance.take(units, now)
+    return allowance.take(units, rank, now)
   }
 
   /**
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -82,7 +82,7 @@
     const lane = this.laneOf(job.service)
     if (job.isRepeat && !lane.repeats.take(this.part, now)) return [this.refuse(job, Refusal.budget, 0)]
     if (!job.isCharged) {
-      const waitMs = this.allowances.take(job.organisation, job.units, now)
+      const waitMs = this.allowances.take(job.organisation, job.units, job.rank, now)
       if (waitMs > 0) return [{ kind: 'refuse', job: job.id, reason: Refusal.allowance, retryAfterMs: waitMs }]
       lane.repeats.sawFirst(now)
     }
