Recover faster: allowances of a new scheduler, requests before the deployment, long answers

Long answers were cut by their callers' deadlines on the slowest engines (28 of 1,237 chats). Ruled out: the time to start (10 to 20 ms until ready).

--- a/src/dispatch/gossip.ts
+++ b/src/dispatch/gossip.ts
@@ -6,7 +6,7 @@
 } from './dispatch_pb.js'
 
 /** Being behind another host is borne this long, in milliseconds, since the store usually tells all within it. */
-const BORNE_LAG_MS = 300
+const BORNE_LAG_MS = 500
 
 /** Who was heard to be ahead, and how to ask. */
 interface Ahead {
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -92,7 +92,7 @@
       organisation: request.organisation?.name,
       units: request.units,
       promptTokens: request.promptTokens,
-      outputTokens: request.outputTokens,
+      events: request.expectedTokens / (context.deployment()?.services.get(this.service)?.tokensPerEvent ?? 1),
       arrivedAt: request.arrivedAt,
       lateAt: request.lateAt,
       objectiveMs: route.objectiveMs,
--- a/src/forward/callerrequest.ts
+++ b/src/forward/callerrequest.ts
@@ -14,7 +14,8 @@
   /** Who holds the key; undefined on public routes. */
   readonly organisation: Organisation | undefined
   readonly promptTokens: number
-  readonly outputTokens: number
+  /** Tokens that the answer is expected to have. */
+  readonly expectedTokens: number
   /** What it counts against the allowance. */
   readonly units: number
   /** The last event that the caller has, if it resumes a stream. */
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -104,7 +104,8 @@
       firstMs,
       longestPauseMs: Math.round(this.longestPauseMs),
       events: this.events,
-      tokens: this.request.promptTokens
+      tokens: this.request.promptTokens,
+      expectedTokens: this.request.expectedTokens
     }
   }
 
--- a/src/forward/headernames.ts
+++ b/src/forward/headernames.ts
@@ -16,6 +16,8 @@
   readonly lastEvent: string
   /** Prompt tokens and most output tokens, with a comma between. */
   readonly usage: string
+  /** The caller's estimate of the answer's tokens. */
+  readonly lengthHint: string
   /** Names that callers may not set. */
   readonly reserved: readonly string[]
 }
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -1,10 +1,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import { type CallerLimits, type Deployment, type Organisation, type Route, Unit } from '../routing/index.js'
+import type { CallerLimits, Deployment } from '../routing/index.js'
 import { Answer } from './answer.js'
 import { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { ForwardContext } from './context.js'
 import { headerOf } from './headers.js'
+import { expectedTokens, type Found, identify, lengthOf, tokensOf, unitsOf } from './identity.js'
 import { Status } from './status.js'
 
 /** Longest header block that is read at all, in bytes; the deployment's limit is below it. */
@@ -16,6 +17,10 @@
 /** How often node looks for connections that took too long, in milliseconds. */
 const CONNECTION_CHECK_MS = 1_000
 
+/** How long a request waits for the deployment to be known, and between two looks; in milliseconds. */
+const UNKNOWN_WAIT_MS = 250
+const UNKNOWN_LOOK_MS = 10
+
 /** When a caller may come back to a host that knows no deployment yet, in milliseconds. */
 const UNKNOWN_RETRY_MS = 300
 
@@ -103,10 +108,27 @@
       this.reject(message, answer, Status.unavailable, 'this host stops', 0)
       return
     }
-    if (deployment === undefined) {
-      this.reject(message, answer, Status.unavailable, 'no deployment is known yet', UNKNOWN_RETRY_MS)
-      return
+    if (deployment === undefined) this.holdBack({ message, answer, attempt, arrivedAt, response })
+    else this.route(deployment, { message, answer, attempt, arrivedAt, response })
+  }
+
+  /** Right after its start a host learns of the deployment within milliseconds; until then requests wait. */
+  private holdBack (arrival: Arrival): void {
+    const giveUpAt = arrival.arrivedAt + UNKNOWN_WAIT_MS
+    const look = (): void => {
+      const deployment = this.context.deployment()
+      if (deployment !== undefined) this.route(deployment, arrival)
+      else if (this.context.clock.now() < giveUpAt) setTimeout(look, UNKNOWN_LOOK_MS)
+      else {
+        this.reject(arrival.message, arrival.answer, Status.unavailable, 'no deployment is known yet', UNKNOWN_RETRY_MS)
+      }
     }
+    look()
+  }
+
+  private route (deployment: Deployment, arrival: Arrival): void {
+    const { message, answer, attempt, arrivedAt, response } = arrival
+    const { names } = this.context
     const { headerBytes, bodyBytes } = deployment.limits
     if (lengthOf(message.rawHeaders) > headerBytes) {
       this.reject(message, answer, Status.headersTooLarge, 'the headers are too long')
@@ -176,7 +198,7 @@
       route,
       organisation,
       promptTokens,
-      outputTokens,
+      expectedTokens: expectedTokens(outputTokens, headerOf(headers, names.lengthHint)),
       units: unitsOf(organisation, promptTokens + outputTokens),
       lastEvent: lastEvent === undefined ? undefined : Number(lastEvent),
       arrivedAt,
@@ -186,31 +208,11 @@
   }
 }
 
-interface Found {
-  readonly route: Route
-  readonly organisation: Organisation | undefined
-}
-
-/** Finds route and organisation, or the status of the refusal. */
-function identify (deployment: Deployment, message: IncomingMessage, keyName: string): Found | number {
-  const route = deployment.match(message.headers.host ?? '', message.url ?? '/')
-  if (route === undefined) return Status.notFound
-  if (route.isPublic || !deployment.needsKeys) return { route, organisation: undefined }
-  const organisation = deployment.organisationOf(headerOf(message.rawHeaders, keyName) ?? '')
-  return organisation === undefined ? Status.unauthorised : { route, organisation }
-}
-
-function lengthOf (headers: readonly string[]): number {
-  return headers.reduce((sum, text) => sum + text.length + 2, 0)
-}
-
-function tokensOf (usage: string | undefined): readonly [number, number] {
-  const [prompt, output] = (usage ?? '').split(',').map(Number)
-  const isSound = prompt !== undefined && output !== undefined && Number.isFinite(prompt) && Number.isFinite(output)
-  return isSound ? [prompt, output] : [0, 0]
-}
-
-function unitsOf (organisation: Organisation | undefined, tokens: number): number {
-  if (organisation === undefined || organisation.unit === Unit.requests) return 1
-  return tokens > 0 ? tokens : organisation.plainTokens
+/** A request whose head was read. */
+interface Arrival {
+  readonly message: IncomingMessage
+  readonly answer: Answer
+  readonly response: ServerResponse
+  readonly attempt: string | undefined
+  readonly arrivedAt: number
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -56,7 +56,8 @@
       membersChanged: () => this.membersChanged()
     }, clock, log)
     const { gossip, fleet } = this.directory
-    this.hub = new Hub(new Scheduler(settings.repeats, settings.tolerance), gossip, clock)
+    const scheduler = new Scheduler(settings.repeats, settings.tolerance, settings.isFirstStart)
+    this.hub = new Hub(scheduler, gossip, clock)
     this.dispatcher = new Dispatcher(clock)
     this.choice = new Choice(host, links.ip, this.hub, this.dispatcher, gossip, clock, (scheduler, reason) => {
       log.info({ event: 'scheduler-chosen', scheduler, reason }, 'scheduler-chosen')
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -19,6 +19,8 @@
   readonly links: Endpoint
   /** Time between a request to stop and the end by force, in milliseconds. */
   readonly graceMs: number
+  /** Whether the whole system starts for the first time. */
+  readonly isFirstStart: boolean
   readonly repeats: RepeatBounds
   /** By how much organisations may go over their allowances. */
   readonly tolerance: Tolerance
--- a/src/routing/service.ts
+++ b/src/routing/service.ts
@@ -7,4 +7,6 @@
   readonly memoryTokens: number | undefined
   /** Requests that one engine runs at once; undefined for a plain service. */
   readonly slots: number | undefined
+  /** Tokens that one event of a stream holds. */
+  readonly tokensPerEvent: number
 }
--- a/src/schedule/allowance.ts
+++ b/src/schedule/allowance.ts
@@ -10,7 +10,7 @@
 }
 
 /** Part of the tolerance that is given away; the rest covers the moments in which two schedulers count. */
-const GIVEN_PART = 0.6
+const GIVEN_PART = 0.5
 
 /**
  * Part of the bucket that each rank leaves to the ranks above it, beginning with the highest: when an allowance runs
@@ -21,8 +21,8 @@
 /** Requests of up to this part of the bucket go before any reserve: refusing them would save next to nothing. */
 const SMALL_PART = 0.0025
 
-/** Part of its burst that an allowance holds when its use before is not known. */
-const UNKNOWN_LEVEL = 0.25
+/** Part of the bucket that is full when the use before is not known, as after a change of scheduler. */
+export const UNKNOWN_LEVEL = 0.4
 
 /** What one organisation may still use: a bucket that fills at its rate. */
 export class Allowance {
@@ -33,15 +33,17 @@
    * @param organisation - states rate and burst
    * @param tolerance - how much more is borne
    * @param share - part of them that may be used here, 0 to 1
+   * @param level - part of the bucket that is full, 0 to 1
    * @param now - steady time, in milliseconds
    */
   constructor (
     private organisation: Organisation,
     private readonly tolerance: Tolerance,
     private share: number,
+    level: number,
     now: number
   ) {
-    this.level = this.most * UNKNOWN_LEVEL
+    this.level = this.most * level
     this.filledAt = now
   }
 
@@ -54,6 +56,8 @@
    */
   change (organisation: Organisation, share: number, now: number): void {
     this.fill(now)
+    // Hosts that come in bring their part of what is left.
+    this.level *= share / this.share
     this.organisation = organisation
     this.share = share
     this.level = Math.min(this.level, this.most)
--- a/src/schedule/allowances.ts
+++ b/src/schedule/allowances.ts
@@ -7,8 +7,11 @@
   private organisations = new Map<string, Organisation>()
   private part = 1
 
-  /** @param tolerance - by how much they may be overdrawn */
-  constructor (private readonly tolerance: Tolerance) {}
+  /**
+   * @param tolerance - by how much they may be overdrawn
+   * @param level - part of a new bucket that is full, 0 to 1
+   */
+  constructor (private readonly tolerance: Tolerance, private readonly level: number) {}
 
   /**
    * Sets whose allowances are kept.
@@ -47,7 +50,7 @@
     if (organisation === undefined) return 0
     let allowance = this.known.get(organisation.name)
     if (allowance === undefined) {
-      allowance = new Allowance(organisation, this.tolerance, this.part, now)
+      allowance = new Allowance(organisation, this.tolerance, this.part, this.level, now)
       this.known.set(organisation.name, allowance)
     }
     return allowance.take(units, rank, now)
--- a/src/schedule/job.ts
+++ b/src/schedule/job.ts
@@ -13,8 +13,8 @@
   readonly units: number
   /** Tokens that a model engine must read; 0 for plain services. */
   readonly promptTokens: number
-  /** Most tokens that it may produce; 0 for plain services. */
-  readonly outputTokens: number
+  /** Events that its answer is expected to have; 0 for plain services. */
+  readonly events: number
   /** When it arrived at its host. */
   readonly arrivedAt: number
   /** When its latency objective passes, counted from its caller's first attempt as far as that is known. */
--- a/src/schedule/load.ts
+++ b/src/schedule/load.ts
@@ -20,6 +20,12 @@
 /** How much a certain failure weighs against waiting, as parts of the latency objective. */
 const FAILURE_OBJECTIVES = 3
 
+/** Part of the caller's time that an answer may be expected to take without doubt; estimates are often off by half. */
+const SURE_FINISH_PART = 0.5
+
+/** How much an answer that would take twice its time weighs against waiting, as parts of the objective. */
+const UNFINISHED_OBJECTIVES = 3
+
 /** Added for each job that runs already, in milliseconds: each one slows the others a little. */
 const RUNNING_MS = 1
 
@@ -116,6 +122,19 @@
     return this.pace.stepMs + tokens * this.pace.tokenMs > USED_PAUSE_PART * boundMs
   }
 
+  /**
+   * Tells whether a job would most likely not be finished here in its caller's time. Like `wouldPause`, this does not
+   * keep a job waiting for long.
+   *
+   * @param job - asks for a place
+   * @param now - steady time, in milliseconds
+   * @returns whether the job should go elsewhere or wait
+   */
+  wouldMiss (job: Job, now: number): boolean {
+    if (job.promptTokens === 0 || now - job.arrivedAt > PATIENT_PART * job.objectiveMs) return false
+    return this.finishPart(job, now) > 1
+  }
+
   /**
    * Estimates how late a job's first event or answer would be here.
    *
@@ -129,7 +148,15 @@
       : this.pace.stepMs * (1 + this.running.size / this.server.slots)
     const way = job.dataCentre === this.server.dataCentre ? 0 : OTHER_DATA_CENTRE_MS
     const failures = this.health.failureShare(now) * FAILURE_OBJECTIVES * job.objectiveMs
-    return own + way + failures + RUNNING_MS * this.running.size
+    const over = Math.max(0, this.finishPart(job, now) - SURE_FINISH_PART)
+    const unfinished = over * UNFINISHED_OBJECTIVES * job.objectiveMs
+    return own + way + failures + unfinished + RUNNING_MS * this.running.size
+  }
+
+  /** The part of its caller's remaining time that a job would take here. */
+  private finishPart (job: Job, now: number): number {
+    const firstMs = this.pace.firstEventMs(this.unreadTokens + job.promptTokens)
+    return (firstMs + job.events * this.pace.stepMs) / Math.max(1, job.deadlineAt - now)
   }
 }
 
@@ -147,7 +174,7 @@
   let lowest = Infinity
   for (const load of loads) {
     if (job.avoided.includes(load.server.id) || load.freePlaces(share, now) === 0) continue
-    if (load.wouldPause(job, now)) continue
+    if (load.wouldPause(job, now) || load.wouldMiss(job, now)) continue
     const cost = load.cost(job, now)
     if (cost >= lowest) continue
     best = load
--- a/src/schedule/pace.ts
+++ b/src/schedule/pace.ts
@@ -1,8 +1,8 @@
 /** Weight of a new observation against what was learned before. */
 const LEARNING_RATE = 0.2
 
-/** Prompts with fewer tokens say little about how fast a server reads. */
-const TELLING_TOKENS = 1_000
+/** Prompt tokens over which the reading pace is averaged: some hundred usual prompts, so that long ones tell most. */
+const MEMORY_TOKENS = 100_000
 
 /** Time to a first event that does not depend on the prompt, in milliseconds. */
 const FIRST_EVENT_MS = 15
@@ -10,12 +10,17 @@
 /** What is assumed of an engine that was never seen: time for a prompt token, in milliseconds. */
 const UNKNOWN_TOKEN_MS = 0.02
 
+/** How many tokens that assumption weighs as much as. */
+const UNKNOWN_WEIGHT_TOKENS = 500
+
 /** What is assumed of a server that was never seen: pause between events or length of a call, in milliseconds. */
 const UNKNOWN_STEP_MS = 40
 
 /** How fast one server works, learned from what it did. */
 export class Pace {
-  private learnedTokenMs: number | undefined
+  /** Time and tokens of the prompts that were read, older ones weighing less. */
+  private readMs = 0
+  private readTokens = 0
   private learnedStepMs: number | undefined
 
   /**
@@ -25,9 +30,9 @@
    * @param tokens - prompt tokens that the server had to read until then
    */
   sawFirst (firstMs: number, tokens: number): void {
-    if (tokens < TELLING_TOKENS) return
-    const seen = Math.max(0, firstMs - FIRST_EVENT_MS) / tokens
-    this.learnedTokenMs = learn(this.learnedTokenMs, seen)
+    const kept = Math.max(0, 1 - tokens / MEMORY_TOKENS)
+    this.readMs = this.readMs * kept + Math.max(0, firstMs - FIRST_EVENT_MS)
+    this.readTokens = this.readTokens * kept + tokens
   }
 
   /** @param stepMs - mean pause between events of a stream, or the length of a call; in milliseconds */
@@ -37,7 +42,7 @@
 
   /** Time that each prompt token adds before a first event, in milliseconds. */
   get tokenMs (): number {
-    return this.learnedTokenMs ?? UNKNOWN_TOKEN_MS
+    return (this.readMs + UNKNOWN_TOKEN_MS * UNKNOWN_WEIGHT_TOKENS) / (this.readTokens + UNKNOWN_WEIGHT_TOKENS)
   }
 
   /** Mean pause between events, or length of a call; in milliseconds. */
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -1,6 +1,6 @@
 import { type BackendServer, sameIncarnation } from '../fleet/index.js'
 import type { Organisation } from '../routing/index.js'
-import type { Tolerance } from './allowance.js'
+import { type Tolerance, UNKNOWN_LEVEL } from './allowance.js'
 import { Allowances } from './allowances.js'
 import { type Effect, Refusal } from './effect.js'
 import type { Job } from './job.js'
@@ -29,9 +29,10 @@
   /**
    * @param bounds - what bounds repeats
    * @param tolerance - by how much allowances may be overdrawn
+   * @param isFirstStart - whether nothing can have been used before
    */
-  constructor (private readonly bounds: RepeatBounds, tolerance: Tolerance) {
-    this.allowances = new Allowances(tolerance)
+  constructor (private readonly bounds: RepeatBounds, tolerance: Tolerance, isFirstStart = false) {
+    this.allowances = new Allowances(tolerance, isFirstStart ? 1 : UNKNOWN_LEVEL)
   }
 
   /**
@@ -206,12 +207,10 @@
         lane.line.remove(job.id)
         load.begin(job, now)
         effects.push({ kind: 'grant', job: job.id, server: load.server.id })
-      } else if (loads.length === 0) {
-        lane.line.remove(job.id)
-        effects.push(this.refuse(job, Refusal.noServer, retryAfterMs(job, now)))
       } else if (now - job.arrivedAt >= patienceMs(job)) {
         lane.line.remove(job.id)
-        effects.push(this.refuse(job, Refusal.capacity, retryAfterMs(job, now)))
+        const reason = loads.length === 0 ? Refusal.noServer : Refusal.capacity
+        effects.push(this.refuse(job, reason, retryAfterMs(job, now)))
       }
     }
     return effects
