--- a/src/dispatch/frames.ts
+++ b/src/dispatch/frames.ts
@@ -36,6 +36,7 @@
 export function toPlace (job: Job, now: number): Place {
   return create(PlaceSchema, {
     service: job.service,
+    fingerprint: job.fingerprint,
     organisationRank: job.organisationRank,
     rank: job.rank,
     organisation: job.organisation ?? '',
@@ -66,6 +67,7 @@
   return {
     id,
     service: place.service,
+    fingerprint: place.fingerprint,
     organisationRank: place.organisationRank,
     rank: place.rank,
     organisation: place.organisation === '' ? undefined : place.organisation,
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -19,6 +19,9 @@
 /** Servers whose entry lapsed during an outage of the store are back within this time after it, if they live. */
 export const RETURN_GRACE_MS = 2_000
 
+/** How long a removed entry is remembered, in milliseconds, so that older news of it changes nothing. */
+const REMOVED_MEMORY_MS = 60_000
+
 /** The backend servers that are known, by their newest entries. */
 export class Fleet {
   private readonly entries = new Map<string, Entry>()
@@ -50,9 +53,16 @@
       server: change.server ?? (isDoubted ? known?.server : undefined),
       removedAt: change.server === undefined ? now : undefined
     })
+    this.forget(now)
     return true
   }
 
+  private forget (now: number): void {
+    for (const [id, { removedAt }] of this.entries) {
+      if (removedAt !== undefined && now - removedAt > REMOVED_MEMORY_MS) this.entries.delete(id)
+    }
+  }
+
   /**
    * Finds a server that may get new work.
    *
--- a/src/forward/answer.ts
+++ b/src/forward/answer.ts
@@ -1,6 +1,9 @@
 import type { ServerResponse } from 'node:http'
 import type { RawHeaders } from './headers.js'
 
+/** Statuses whose answers have no body and state no length, by RFC 9110. */
+const BODILESS: ReadonlySet<number> = new Set([204, 304])
+
 /** The answer to one request of a caller. */
 export class Answer {
   /** Whether the caller left before the answer was whole. */
@@ -76,7 +79,8 @@
     if (isUnframed) {
       this.begin(status, headers, true)
     } else {
-      this.head(status, [...headers, 'Content-Length', String(body.length)])
+      const length = BODILESS.has(status) ? [] : ['Content-Length', String(body.length)]
+      this.head(status, [...headers, ...length])
     }
     this.response.end(body)
   }
--- a/src/forward/callerrequest.ts
+++ b/src/forward/callerrequest.ts
@@ -10,6 +10,8 @@
   readonly target: string
   readonly headers: RawHeaders
   readonly body: Buffer
+  /** Alike for requests with the same path, organisation and body. */
+  readonly fingerprint: string
   readonly route: Route
   /** Who holds the key; undefined on public routes. */
   readonly organisation: Organisation | undefined
--- a/src/forward/identity.ts
+++ b/src/forward/identity.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto'
 import type { IncomingMessage } from 'node:http'
 import { type Deployment, type Organisation, type Route, Unit } from '../routing/index.js'
 import { headerOf } from './headers.js'
@@ -65,3 +66,14 @@
   if (organisation === undefined || organisation.unit === Unit.requests) return 1
   return tokens > 0 ? tokens : organisation.plainTokens
 }
+
+/**
+ * @param message - the request's head
+ * @param organisation - who sends it, if known
+ * @param body - its body
+ * @returns a text that is alike for requests with the same path, organisation and body
+ */
+export function fingerprintOf (message: IncomingMessage, organisation: Organisation | undefined, body: Buffer): string {
+  const what = `${message.method ?? ''} ${message.url ?? ''} ${organisation?.name ?? ''}\n`
+  return createHash('sha1').update(what).update(body).digest('base64url')
+}
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -5,7 +5,7 @@
 import type { CallerRequest } from './callerrequest.js'
 import type { ForwardContext } from './context.js'
 import { headerOf } from './headers.js'
-import { expectedTokens, type Found, identify, lengthOf, tokensOf, unitsOf } from './identity.js'
+import { expectedTokens, fingerprintOf, type Found, identify, lengthOf, tokensOf, unitsOf } from './identity.js'
 import { Status } from './status.js'
 
 /** Longest header block that is read at all, in bytes; the deployment's limit is below it. */
@@ -195,6 +195,7 @@
       target: message.url ?? '/',
       headers,
       body,
+      fingerprint: fingerprintOf(message, organisation, body),
       route,
       organisation,
       promptTokens,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import type Logger from 'bunyan'
-import { type Clock, Lifecycle, SystemRandom } from '../base/index.js'
+import { type Clock, Lifecycle, SystemRandom, toError } from '../base/index.js'
 import { Choice, Dispatcher, DispatchListener, Hub } from '../dispatch/index.js'
 import { Channels, Ingress } from '../forward/index.js'
 import type { Deployment } from '../routing/index.js'
@@ -82,6 +82,23 @@
     return !this.isStopping && this.directory.isReady
   }
 
+  /** @returns what this process believes, for people who ask */
+  dump (): Readonly<Record<string, unknown>> {
+    const { directory, choice, hub } = this
+    return {
+      isReady: this.isReady,
+      isStopping: this.isStopping,
+      deployment: directory.deployment?.revision,
+      servers: directory.fleet.all(this.clock.now()),
+      members: directory.membership.list(),
+      scheduler: choice.current,
+      linkedHosts: hub.hosts,
+      requests: this.ingress.size,
+      jobs: this.dispatcher.size,
+      schedule: hub.scheduler.dump()
+    }
+  }
+
   /** Starts to listen and to follow the store. */
   async start (): Promise<void> {
     const { settings, platform, lifecycle } = this
@@ -97,7 +114,14 @@
     lifecycle.own('readiness', () => readiness.close())
     this.directory.start()
     lifecycle.own('directory', () => this.directory.close())
-    lifecycle.every('ticks', TICK_MS, () => this.tick())
+    lifecycle.every('ticks', TICK_MS, () => {
+      try {
+        this.tick()
+      } catch (thrown) {
+        // One failed look at what waits must not end the process; the next one comes at once.
+        this.log.error({ event: 'tick-failed', err: toError(thrown) }, 'tick-failed')
+      }
+    })
     this.log.info({ event: 'started', callers: settings.callers, dataCentre: settings.dataCentre }, 'started')
   }
 
--- a/src/owner/suspects.ts
+++ b/src/poison/suspects.ts
@@ -16,8 +16,11 @@
 export class Suspects {
   private readonly suspects = new Map<string, Suspect>()
 
-  /** @param retentionMs - how long a crash is remembered, in milliseconds */
-  constructor (private readonly retentionMs: number) {}
+  /**
+   * @param retentionMs - how long a crash is remembered, in milliseconds
+   * @param crashesToConvict - how many servers convict
+   */
+  constructor (private readonly retentionMs: number, private readonly crashesToConvict = CRASHES_TO_CONVICT) {}
 
   /** How many requests are remembered. */
   get size (): number {
@@ -46,7 +49,7 @@
    * @returns whether the request crashed so many servers that it is refused
    */
   isConvicted (fingerprint: string, now: number): boolean {
-    return this.present(fingerprint, now).size >= CRASHES_TO_CONVICT
+    return this.present(fingerprint, now).size >= this.crashesToConvict
   }
 
   private present (fingerprint: string, now: number): ReadonlySet<string> {
--- a/src/schedule/effect.ts
+++ b/src/schedule/effect.ts
@@ -7,7 +7,9 @@
   /** The service has no server that may get work. */
   noServer: 'no-server',
   /** The budget of repeats is used up. */
-  budget: 'budget'
+  budget: 'budget',
+  /** The request crashed several servers that ran it. */
+  crashes: 'crashes'
 } as const
 
 /** One of the values of {@link Refusal}. */
--- a/src/schedule/job.ts
+++ b/src/schedule/job.ts
@@ -3,6 +3,8 @@
   /** Unique over all hosts. */
   readonly id: string
   readonly service: string
+  /** Alike for requests with the same path, organisation and body. */
+  readonly fingerprint: string
   /** Rank of its organisation, compared before its own; 0 is the highest. */
   readonly organisationRank: number
   /** Which work goes first: 0 is the highest rank. */
@@ -34,3 +36,12 @@
   /** Whether its units were already taken from the allowance. */
   readonly isCharged: boolean
 }
+
+/**
+ * @param a - a job
+ * @param b - another job
+ * @returns whether the first one ranks below the second: by its organisation, or by itself among equals
+ */
+export function ranksBelow (a: Job, b: Job): boolean {
+  return a.organisationRank === b.organisationRank ? a.rank > b.rank : a.organisationRank > b.organisationRank
+}
--- a/src/schedule/line.ts
+++ b/src/schedule/line.ts
@@ -1,4 +1,4 @@
-import type { Job } from './job.js'
+import { type Job, ranksBelow } from './job.js'
 
 /** The jobs of one service that wait for a place, in the order in which they get one. */
 export class Line {
@@ -42,7 +42,7 @@
     let late: Job[] = []
     for (const [at, job] of this.jobs.entries()) {
       const before = this.jobs[at - 1]
-      if (before !== undefined && !sameRank(before, job)) {
+      if (before !== undefined && ranksBelow(job, before)) {
         ordered.push(...late)
         late = []
       }
@@ -54,13 +54,8 @@
   }
 }
 
-function sameRank (a: Job, b: Job): boolean {
-  return a.organisationRank === b.organisationRank && a.rank === b.rank
-}
-
 /** Ranks in the operators' order, those of organisations first; within a rank, whose objective passes first. */
 function goesBefore (a: Job, b: Job): boolean {
-  if (a.organisationRank !== b.organisationRank) return a.organisationRank < b.organisationRank
-  if (a.rank !== b.rank) return a.rank < b.rank
-  return a.lateAt < b.lateAt
+  if (ranksBelow(b, a)) return true
+  return !ranksBelow(a, b) && a.lateAt < b.lateAt
 }
--- a/src/schedule/load.ts
+++ b/src/schedule/load.ts
@@ -1,6 +1,6 @@
 import type { BackendServer } from '../fleet/index.js'
 import { Health } from './health.js'
-import type { Job } from './job.js'
+import { type Job, ranksBelow } from './job.js'
 import { Outcome } from './outcome.js'
 import { Pace } from './pace.js'
 
@@ -30,7 +30,7 @@
 const RUNNING_MS = 1
 
 /** Part of its objective that a job waits for a server where it holds up nobody. */
-const PATIENT_PART = 0.4
+const PATIENT_PART = 0.15
 
 /** Part of the longest pause that is planned for; the rest is for what is not foreseen. */
 const USED_PAUSE_PART = 0.9
@@ -104,8 +104,8 @@
   }
 
   /**
-   * Tells whether reading a job's prompt would hold up the events of running streams for too long. A job that has
-   * waited for a good part of its objective goes anyway.
+   * Tells whether reading a job's prompt would hold up the events of running streams of its rank or above for too
+   * long. A job that has waited for a good part of its objective goes anyway.
    *
    * @param job - asks for a place
    * @param now - steady time, in milliseconds
@@ -115,7 +115,8 @@
     if (job.promptTokens === 0 || now - job.arrivedAt > PATIENT_PART * job.objectiveMs) return false
     let boundMs = Infinity
     for (const run of this.running.values()) {
-      if (run.startedAt !== undefined && run.job.pauseMs > 0) boundMs = Math.min(boundMs, run.job.pauseMs)
+      if (run.startedAt === undefined || run.job.pauseMs === 0 || ranksBelow(run.job, job)) continue
+      boundMs = Math.min(boundMs, run.job.pauseMs)
     }
     if (boundMs === Infinity) return false
     const tokens = Math.min(this.unreadTokens + job.promptTokens, READ_BETWEEN_EVENTS_TOKENS)
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -1,4 +1,5 @@
 import { type BackendServer, sameIncarnation } from '../fleet/index.js'
+import { Crashes } from '../poison/index.js'
 import type { Organisation } from '../routing/index.js'
 import { type Tolerance, UNKNOWN_LEVEL } from './allowance.js'
 import { Allowances } from './allowances.js'
@@ -6,10 +7,13 @@
 import type { Job } from './job.js'
 import { Line } from './line.js'
 import { cheapest, Load } from './load.js'
-import type { Outcome } from './outcome.js'
+import { Outcome } from './outcome.js'
 import { patienceMs, retryAfterMs } from './patience.js'
 import { type RepeatBounds, Repeats } from './repeats.js'
 
+/** When the caller of a request that crashes servers may come back, in milliseconds: after it is forgotten. */
+const CRASHES_RETRY_MS = 120_000
+
 interface Lane {
   readonly line: Line
   readonly repeats: Repeats
@@ -24,6 +28,7 @@
   private readonly loads = new Map<string, Load>()
   private readonly lanes = new Map<string, Lane>()
   private readonly allowances: Allowances
+  private readonly crashes = new Crashes()
   private part = 1
 
   /**
@@ -80,6 +85,7 @@
    * @returns what is to be done, perhaps about other jobs too
    */
   ask (job: Job, now: number): Effect[] {
+    if (this.crashes.isConvicted(job.fingerprint, now)) return [this.refuse(job, Refusal.crashes, CRASHES_RETRY_MS)]
     const lane = this.laneOf(job.service)
     if (job.isRepeat && !lane.repeats.take(this.part, now)) return [this.refuse(job, Refusal.budget, 0)]
     if (!job.isCharged) {
@@ -133,6 +139,9 @@
   ended (job: string, server: string, outcome: Outcome, stepMs: number | undefined, now: number): Effect[] {
     const load = this.loads.get(server)
     if (load === undefined) return []
+    const run = load.running.get(job)
+    if (run !== undefined && outcome === Outcome.broken) this.crashes.broke(run.job.fingerprint, server, now)
+    if (outcome === Outcome.unreachable) this.crashes.lost(server, now)
     load.end(job, outcome, stepMs, now)
     return this.serve(load.server.service, now)
   }
@@ -217,7 +226,7 @@
   }
 
   private refuse (job: Job, reason: Refusal, retryAfter: number): Effect {
-    this.giveBack(job)
+    if (reason !== Refusal.crashes) this.giveBack(job)
     return { kind: 'refuse', job: job.id, reason, retryAfterMs: retryAfter }
   }
 
--- a/test/jobs.ts
+++ b/test/jobs.ts
@@ -1,5 +1,6 @@
 import type { BackendServer } from '../src/fleet/index.js'
-import type { Job } from '../src/schedule/index.js'
+import { type Effect, type Job, Scheduler } from '../src/schedule/index.js'
+import { WIDE } from './rig.js'
 
 /** @returns a job with what is stated, the rest being usual */
 export function job (id: string, stated: Partial<Job> = {}): Job {
@@ -7,6 +8,7 @@
   return {
     id,
     service: 's',
+    fingerprint: id,
     organisationRank: 0,
     rank: 1,
     organisation: undefined,
@@ -32,3 +34,17 @@
     id, born: 1, service: 's', address: `${id}:1`, dataCentre: 'd', version: 'v', slots: 1, isDraining: false, coldMs: 0, ...stated
   }
 }
+
+export function schedulerOf (...servers: BackendServer[]): Scheduler {
+  const scheduler = new Scheduler(WIDE.repeats, WIDE.tolerance)
+  scheduler.setServers(servers)
+  return scheduler
+}
+
+export function granted (effects: readonly Effect[]): string[] {
+  return effects.filter(effect => effect.kind === 'grant').map(effect => effect.job)
+}
+
+export function refused (effects: readonly Effect[]): string[] {
+  return effects.filter(effect => effect.kind === 'refuse').map(effect => effect.job)
+}
