Hold requests that can't be written against no server; remove members that are gone

Cause: undici refuses a request with two Host headers before it sends it, and that counted as a server out of reach, which rests the server. It also reported it before the delivery was known to its attempt. Rows of hosts that never come back lay idle with their part of places and allowances: nothing removed them. Found by reading; the test of the two headers failed before the change (502 instead of 400).

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -145,6 +145,11 @@
     if (outcome === Outcome.done) this.done(delivery, result)
     else if (outcome === Outcome.rejected || outcome === Outcome.misdirected || outcome === Outcome.unreachable) {
       this.notRun(delivery, outcome)
+    } else if (outcome === Outcome.unsendable) {
+      this.ticket?.ended(outcome)
+      this.log('unsendable', { reason: delivery.reason })
+      this.answer.own(Status.badRequest, 'the request can not be passed on')
+      this.over()
     } else if (outcome === Outcome.failed) {
       this.failure = result
       this.lost(delivery, outcome)
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -178,6 +178,14 @@
     this.watcher.ended(this, this.wasSent ? Outcome.broken : Outcome.unreachable, undefined)
   }
 
+  unsendable (error: Error): void {
+    if (this.isOver) return
+    this.isOver = true
+    this.reason = error.message
+    this.channel.close()
+    this.watcher.ended(this, Outcome.unsendable, undefined)
+  }
+
   private outcomeOf (): Outcome {
     if (this.status === Status.misdirected) return Outcome.misdirected
     if (headerOf(this.headers, this.context.names.notRun) !== undefined) return Outcome.rejected
--- a/src/forward/sending.ts
+++ b/src/forward/sending.ts
@@ -1,5 +1,4 @@
 import type { Dispatcher as UndiciDispatcher } from 'undici'
-import { toError } from '../base/index.js'
 import type { Channel } from './channel.js'
 import type { RawHeaders } from './headers.js'
 
@@ -22,6 +21,8 @@
   end (): void
   /** No whole answer will come. */
   fail (error: Error): void
+  /** The request can't be sent to any server. */
+  unsendable (error: Error): void
 }
 
 /** One request on its way over one connection. */
@@ -29,6 +30,7 @@
   private abortRequest: (() => void) | undefined
   private resumeReading: (() => void) | undefined
   private isDone = false
+  private isBuilt = false
 
   /**
    * Sends a request.
@@ -38,16 +40,13 @@
    * @param taker - takes the answer
    */
   constructor (private readonly channel: Channel, request: OutgoingRequest, private readonly taker: AnswerTaker) {
-    try {
-      channel.dispatch({
-        method: request.method as UndiciDispatcher.HttpMethod,
-        path: request.target,
-        headers: request.headers as string[],
-        body: request.body
-      }, this)
-    } catch (thrown) {
-      queueMicrotask(() => this.onError(toError(thrown)))
-    }
+    channel.dispatch({
+      method: request.method as UndiciDispatcher.HttpMethod,
+      path: request.target,
+      headers: request.headers as string[],
+      body: request.body
+    }, this)
+    this.isBuilt = true
   }
 
   /** Ends the request with its connection; the taker hears no more. */
@@ -90,9 +89,18 @@
   }
 
   onError (error: Error): void {
+    // Whoever sends has no hold of this object before its constructor returns.
+    if (!this.isBuilt) queueMicrotask(() => this.failed(error))
+    else this.failed(error)
+  }
+
+  private failed (error: Error): void {
     if (this.isDone) return
     this.isDone = true
     this.channel.isUsable = false
-    this.taker.fail(error)
+    const { code } = error as NodeJS.ErrnoException
+    // The request itself can't be written; that says nothing about the server.
+    if (code === 'UND_ERR_INVALID_ARG') this.taker.unsendable(error)
+    else this.taker.fail(error)
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import { Channels, Ingress } from '../forward/index.js'
 import type { Deployment } from '../routing/index.js'
 import { Scheduler } from '../schedule/index.js'
+import { Absence } from './absence.js'
 import { Directory } from './directory.js'
 import type { Platform } from './platform.js'
 import { Readiness } from './readiness.js'
@@ -36,6 +37,7 @@
   private isStopping = false
   private isTaking = true
   private refreshedAt = 0
+  private readonly absence = new Absence()
 
   /**
    * @param settings - what the process is told
@@ -164,8 +166,9 @@
     this.refreshedAt = now
     this.hub.scheduler.setServers(this.directory.fleet.all(now))
     const members = Math.max(1, this.directory.membership.list().length)
-    const linked = new Set([...this.hub.hosts, this.settings.host]).size
-    this.hub.scheduler.setPart(Math.min(1, linked / members), now)
+    const linked = new Set([...this.hub.hosts, this.settings.host])
+    this.hub.scheduler.setPart(Math.min(1, linked.size / members), now)
+    if (this.choice.current === this.settings.host) this.absence.look(this.directory.membership, linked, now)
   }
 
   private deploymentChanged (deployment: Deployment): void {
--- a/src/schedule/outcome.ts
+++ b/src/schedule/outcome.ts
@@ -14,6 +14,8 @@
   broken: 'broken',
   /** The server sent nothing for too long. */
   silent: 'silent',
+  /** The request can't be written; no server was asked. */
+  unsendable: 'unsendable',
   /** The caller left, or the host gave up for a reason that says nothing about the server. */
   cancelled: 'cancelled'
 } as const
--- /dev/null
+++ b/test/absence.test.ts
@@ -0,0 +1,23 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { Absence } from '../src/gateway/index.js'
+
+describe('members that are gone', () => {
+  const members = ['a', 'b', 'c'].map(host => ({ host, address: '' }))
+
+  function lookAt (times: ReadonlyArray<readonly [number, string[]]>): string[] {
+    const removed: string[] = []
+    const absence = new Absence()
+    const membership = { list: () => members, remove: async (host: string) => { removed.push(host) } }
+    for (const [now, linked] of times) absence.look(membership, new Set(linked), now)
+    return removed
+  }
+
+  it('are removed after long absence', () => {
+    expect(lookAt([[0, ['a', 'b']], [9_000, ['a', 'b']], [10_100, ['a', 'b']]])).toEqual(['c'])
+  })
+
+  it('are kept if they were linked in between', () => {
+    expect(lookAt([[0, ['a', 'b']], [9_000, ['a', 'b', 'c']], [10_100, ['a', 'b']], [18_000, ['a', 'b']]])).toEqual([])
+  })
+})
--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -114,6 +114,22 @@
     expect(statusOf(await rig.ask(POST, 'x'))).toEqual(502)
   })
 
+  it('sends nothing to a server whose leaving this host knows, though the scheduler does not yet', async () => {
+    const started = await Rig.start(deployment(), ok, ok)
+    rig = started.rig
+    rig.drain(0)
+    for (let i = 0; i < 4; i++) expect(statusOf(await rig.ask(GET))).toEqual(200)
+    expect(started.servers[0]!.requests).toEqual([])
+  })
+
+  it('holds a request that can not be written against no server', async () => {
+    const started = await Rig.start(deployment(), ok)
+    rig = started.rig
+    for (let i = 0; i < 3; i++) expect(statusOf(await rig.ask([...GET, 'Host: b.example']))).toEqual(400)
+    expect(statusOf(await rig.ask(GET))).toEqual(200)
+    expect(started.servers[0]!.requests.length).toEqual(1)
+  })
+
   it('stops the server when the caller leaves', async () => {
     let closed = 0
     const started = await Rig.start(deployment(), (_, __, socket) => { socket.on('close', () => { closed++ }) })
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -144,6 +144,12 @@
     return started
   }
 
+  /** Tells the host, but not its scheduler, that a server leaves. */
+  drain (number: number): void {
+    const server = { ...this.servers[number]!, isDraining: true }
+    this.fleet.apply({ id: server.id, revision: 2, server }, this.clock.now())
+  }
+
   async listen (current: Deployment): Promise<void> {
     const hub = new Hub(this.scheduler, new Gossip([], this.clock, () => undefined), this.clock)
     const dispatcher = new Dispatcher(this.clock)
