--- a/tools/slopes-schedule.ts
+++ b/tools/slopes-schedule.ts
@@ -1,4 +1,4 @@
-/** Measures what an ask costs the scheduler, over the number of servers and of waiting jobs; figures for docs/CAPACITY.md. */
+/** Measures what an ask costs the scheduler, by servers and waiting jobs; figures for docs/CAPACITY.md. */
 import { Outcome, Scheduler } from '../src/schedule/index.js'
 import { job, server } from '../test/jobs.js'
 import { WIDE } from '../test/rig.js'
