Tighten two tests that mutants survived

The idle time-out also ended the connection of a stopping host, after 6 s, and the cost alone kept long answers off slow servers: both now fail without their mechanism.

--- a/test/forward.test.ts
+++ b/test/forward.test.ts
@@ -201,8 +201,11 @@
     caller.send(POST, 'x')
     await caller.until('id: 1')
     rig.isClosing = true
+    const stoppedAt = performance.now()
     const text = await caller.readToEnd()
     expect(text.endsWith('0\r\n\r\n')).toEqual(true)
+    // Far sooner than the idle time-out, which would end the connection too.
+    expect(performance.now() - stoppedAt < 3_000).toEqual(true)
   })
 
   it('takes no request any more once callers had time to go elsewhere', async () => {
--- a/test/schedule.test.ts
+++ b/test/schedule.test.ts
@@ -88,6 +88,14 @@
       expect(scheduler.ask(long, 20)).toEqual([{ kind: 'grant', job: long.id, server: 'fast' }])
     }
   })
+
+  it('waits a little for one rather than begin where it would not be finished', () => {
+    const scheduler = schedulerOf(server('slow', { slots: 9 }))
+    scheduler.ask(job('learn'), 0)
+    scheduler.ended('learn', 'slow', Outcome.done, 70, 10)
+    expect(granted(scheduler.ask(job('long', { events: 500, arrivedAt: 20 }), 20))).toEqual([])
+    expect(granted(scheduler.tick(200))).toEqual(['long'])
+  })
 })
 
 describe('a refusal', () => {
