End kept connections of a stopping host for real; look at no server without a free place

Cause: node takes the socket from a response before other listeners of its finish run, so the connection was never ended; the tightened test failed (a connection ended only by its idle time-out, after 6 s). Ruled out: requests run late on such a connection, which are refused with 503 since 2.5 s after the stop.

--- a/src/forward/answer.ts
+++ b/src/forward/answer.ts
@@ -20,9 +20,11 @@
     private readonly isClosing: () => boolean
   ) {
     response.sendDate = false
+    // Node takes the socket from the response before others hear that it is finished.
+    const { socket } = response
     response.on('finish', () => {
       // An answer that was begun before the stop did not announce the end of its connection.
-      if (isClosing()) response.socket?.end()
+      if (isClosing()) socket?.end()
     })
   }
 
--- a/src/schedule/load.ts
+++ b/src/schedule/load.ts
@@ -164,17 +164,16 @@
 /**
  * Chooses a server for a job.
  *
- * @param loads - the servers of the job's service
+ * @param loads - the servers of the job's service that have a free place
  * @param job - asks for a place
- * @param share - part of each server's places that may be used here, 0 to 1
  * @param now - steady time, in milliseconds
- * @returns the server with a free place where the job costs least, or undefined
+ * @returns the server where the job costs least, or undefined if it should wait
  */
-export function cheapest (loads: readonly Load[], job: Job, share: number, now: number): Load | undefined {
+export function cheapest (loads: readonly Load[], job: Job, now: number): Load | undefined {
   let best: Load | undefined
   let lowest = Infinity
   for (const load of loads) {
-    if (job.avoided.includes(load.server.id) || load.freePlaces(share, now) === 0) continue
+    if (job.avoided.includes(load.server.id)) continue
     if (load.wouldPause(job, now) || load.wouldMiss(job, now)) continue
     const cost = load.cost(job, now)
     if (cost >= lowest) continue
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -210,11 +210,13 @@
     if (lane === undefined || lane.line.size === 0) return []
     const loads = [...this.loads.values()].filter(load => load.server.service === service)
     const effects: Effect[] = []
+    let open = loads.filter(load => load.freePlaces(this.part, now) > 0)
     for (const job of lane.line.list(now)) {
-      const load = cheapest(loads, job, this.part, now)
+      const load = cheapest(open, job, now)
       if (load !== undefined) {
         lane.line.remove(job.id)
         load.begin(job, now)
+        open = open.filter(each => each !== load || each.freePlaces(this.part, now) > 0)
         effects.push({ kind: 'grant', job: job.id, server: load.server.id })
       } else if (now - job.arrivedAt >= patienceMs(job)) {
         lane.line.remove(job.id)
