Let the store's outages in a test meet a call that waits

Shown by a script that brings the outage within the first row: rows right, returns 0. The check stays as it is; the test now waits for the call first. Ruled out: a fault of the follower, whose rows were right.

--- a/standins/rows.ts
+++ b/standins/rows.ts
@@ -91,6 +91,11 @@
     this.forgottenUpTo = this.version
   }
 
+  /** How many calls wait for changes. */
+  get waitingCalls (): number {
+    return this.waiting.length
+  }
+
   /** Ends all calls that wait, as an outage does. */
   cutWaiting (): void {
     for (const { response } of this.waiting.splice(0)) response.destroy()
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -34,7 +34,8 @@
     standin.put('servers', 'a', { at: 1 })
     const replica = new Replica('servers', row => seen.set(row.key, row))
     follower = new Follower(store, replica, () => { returns++ }, new SteadyClock(), log)
-    await until(() => seen.has('a'))
+    // The outages below are to meet a call that waits, not one that is still on its way.
+    await until(() => seen.has('a') && standin.waitingCalls === 1)
   })
 
   afterEach(async () => {
