--- a/src/dispatch/choice.ts
+++ b/src/dispatch/choice.ts
@@ -13,7 +13,7 @@
 /** An ask that got no sign for this long is asked elsewhere, in milliseconds: above a paused core's 100 ms. */
 const ANSWER_MS = 150
 
-/** A link that is in use and was not heard for this long is given up, in milliseconds. */
+/** A link on which an answer is due for this long is given up, in milliseconds. */
 const SILENCE_MS = 450
 
 /** A link that does not come up in this time is given up, in milliseconds. */
@@ -103,7 +103,7 @@
       const isWaiting = this.dispatcher.isWaiting
       const pingMs = isWaiting ? WAITING_PING_MS : IDLE_PING_MS
       if (this.dispatcher.oldestUnheardMs(now) > ANSWER_MS) link.close('an ask got no answer')
-      else if (link.sentAt - link.heardAt > 0 && now - link.heardAt > pingMs + SILENCE_MS) link.close('it fell silent')
+      else if (now - (link.awaitedSince ?? now) > SILENCE_MS) link.close('it fell silent')
       else if (now - link.sentAt > pingMs) this.ping(link)
     }
     if (this.opening !== undefined && now - this.opening.since > OPENING_MS) {
--- a/src/dispatch/link.ts
+++ b/src/dispatch/link.ts
@@ -6,6 +6,9 @@
 import { askFrame } from './frames.js'
 import type { Port, TakeReply } from './port.js'
 
+/** What is answered at once. */
+const ANSWERED: ReadonlySet<Ask['body']['case']> = new Set(['place', 'ping'])
+
 /** A connection to the scheduler of another host. */
 export class Link implements Port {
   private readonly outbox = new Outbox<Ask>()
@@ -13,9 +16,10 @@
   private isOpen = true
   /** Whether the other side answered. */
   isUp = false
-  /** When the other side was heard last, and when it was last written to; steady milliseconds. */
-  heardAt: number
+  /** When the other side was last written to, steady milliseconds. */
   sentAt: number
+  /** Since when an answer is due, if one is; steady milliseconds. */
+  awaitedSince: number | undefined
 
   /**
    * @param host - the name of this host
@@ -35,7 +39,7 @@
   ) {
     const baseUrl = `http://${address}`
     this.sessions = new Http2SessionManager(baseUrl, {}, { localAddress: ip } as ClientSessionOptions)
-    this.heardAt = this.sentAt = clock.now()
+    this.sentAt = clock.now()
     const transport = createGrpcTransport({ baseUrl, sessionManager: this.sessions, acceptCompression: [] })
     const client = createClient(Dispatch, transport)
     this.send(askFrame(0, { case: 'hello', value: { host } }))
@@ -44,6 +48,7 @@
 
   send (ask: Ask): void {
     this.sentAt = this.clock.now()
+    if (ANSWERED.has(ask.body.case)) this.awaitedSince ??= this.sentAt
     this.outbox.push(ask)
   }
 
@@ -60,7 +65,7 @@
   private async run (replies: AsyncIterable<{ frames: Parameters<TakeReply>[0][] }>): Promise<void> {
     try {
       for await (const { frames } of replies) {
-        this.heardAt = this.clock.now()
+        this.awaitedSince = undefined
         this.isUp = this.isOpen
         if (!this.isOpen) return
         for (const frame of frames) this.take(frame)
--- a/src/gateway/absence.ts
+++ b/src/gateway/absence.ts
@@ -7,6 +7,11 @@
 export class Absence {
   private readonly missingSince = new Map<string, number>()
 
+  /** Forgets who is missing: a host that is not asked by others has none of them linked. */
+  forget (): void {
+    this.missingSince.clear()
+  }
+
   /**
    * Looks who is linked, and removes the rows of members that were not for long.
    *
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -169,6 +169,7 @@
     const linked = new Set([...this.hub.hosts, this.settings.host])
     this.hub.scheduler.setPart(Math.min(1, linked.size / members), now)
     if (this.choice.current === this.settings.host) this.absence.look(this.directory.membership, linked, now)
+    else this.absence.forget()
   }
 
   private deploymentChanged (deployment: Deployment): void {
--- a/test/absence.test.ts
+++ b/test/absence.test.ts
@@ -17,6 +17,17 @@
     expect(lookAt([[0, ['a', 'b']], [9_000, ['a', 'b']], [10_100, ['a', 'b']]])).toEqual(['c'])
   })
 
+  // Each host schedules for itself in its first moments, and again whenever the scheduler is out of reach.
+  it('are not told by a host that was not asked by others all the while', () => {
+    const removed: string[] = []
+    const absence = new Absence()
+    const membership = { list: () => members, remove: async (host: string) => { removed.push(host) } }
+    absence.look(membership, new Set(['a']), 0)
+    absence.forget()
+    absence.look(membership, new Set(['a']), 12_000)
+    expect(removed).toEqual([])
+  })
+
   it('are kept if they were linked in between', () => {
     expect(lookAt([[0, ['a', 'b']], [9_000, ['a', 'b', 'c']], [10_100, ['a', 'b']], [18_000, ['a', 'b']]])).toEqual([])
   })
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -105,6 +105,18 @@
     expect(more.filter(({ placements }) => placements.length === 1).length).toEqual(1)
   })
 
+  it('keep a link that was idle when the next request comes', async () => {
+    const [first, second] = await start(2)
+    for (let i = 0; i < 3; i++) {
+      await new Promise(resolve => setTimeout(resolve, 800))
+      const { ticket, placements } = ask(second!)
+      second!.choice.tick()
+      await until(() => placements.length === 1)
+      expect(second!.choice.current).toEqual(first!.name)
+      ticket.ended(Outcome.done)
+    }
+  })
+
   it('place a request within part of its objective when the scheduler falls silent', async () => {
     const [first, second] = await start(2)
     first!.freeze()
