Tell all hosts of a crash before the caller hears that its server was lost

Cause: the owner of the crashed engine told the other hosts and did not wait for them, while the answer to the caller went out at once; a caller that sends again to another host can be faster than the news.

--- a/src/host/roles.ts
+++ b/src/host/roles.ts
@@ -121,11 +121,13 @@
   }
 
   /** Remembers a crash here and has every other host remember it. */
-  private tellCrash (fingerprint: string, server: string): void {
+  private async tellCrash (fingerprint: string, server: string): Promise<void> {
     this.suspects.note(fingerprint, server, this.parts.clock.now())
-    for (const member of this.members.view.members.values()) {
-      if (member.id !== this.self()) void this.peers.ask(member, { case: 'crash', value: { fingerprint, server } })
-    }
+    const others = [...this.members.view.members.values()].filter(member => member.id !== this.self())
+    await Promise.all(others.map(async member => {
+      const told = await this.peers.ask(member, { case: 'crash', value: { fingerprint, server } })
+      if (told.isErr()) this.parts.log.warn({ member: member.id, server, reason: told.error.message }, 'crash not told')
+    }))
   }
 
   private openOwner (): Owner {
--- a/src/owner/execution.ts
+++ b/src/owner/execution.ts
@@ -83,7 +83,7 @@
     this.hooks.prefixes.note(work.submission.prefix, work.submission.prefixTokens)
     work.answer.begin()
     const result = await work.reader.run(body, event => this.take(work, event))
-    return result.isOk() ? this.completed(work) : this.broken(work, result.error)
+    return result.isOk() ? this.completed(work) : await this.broken(work, result.error)
   }
 
   private async turnedAway (work: Work, place: Place, failure: EngineFailure): Promise<Ending> {
@@ -112,12 +112,13 @@
     return ending(Outcome.answered, 'answered')
   }
 
-  private broken (work: Work, failure: EngineFailure): Ending {
+  private async broken (work: Work, failure: EngineFailure): Promise<Ending> {
     if (work.cancelled !== undefined) return work.cancelled
     this.hooks.health.failed(this.now())
     this.warn(work, failure)
-    // A server that took the request and now refuses connections has crashed.
-    if (failure.code === 'refused') this.tools.onCrash(work.submission.fingerprint, this.server.name)
+    // A server that took the request and now refuses connections has crashed. The other hosts hear of it before the
+    // caller does, since it may send the request again at once, to any of them.
+    if (failure.code === 'refused') await this.tools.onCrash(work.submission.fingerprint, this.server.name)
     return ending(Outcome.unknown, failure.code)
   }
 
--- a/src/owner/tools.ts
+++ b/src/owner/tools.ts
@@ -15,8 +15,8 @@
   readonly metrics: Metrics
   readonly clock: Clock
   readonly log: Logger
-  /** Told when a server crashed while it ran a request. */
-  readonly onCrash: (fingerprint: string, server: string) => void
+  /** Told when a server crashed while it ran a request; over when all hosts that can be reached know of it. */
+  readonly onCrash: (fingerprint: string, server: string) => Promise<void>
   /** Makes the id of a response that a server is to run for an organisation. */
   readonly responseId: (server: string, organisation: string) => string
 }
--- a/test/poison.test.ts
+++ b/test/poison.test.ts
@@ -1,9 +1,16 @@
 import { after, before, describe, it } from 'node:test'
 import { expect } from 'earl'
+import { err } from 'neverthrow'
+import { EngineFailure } from '../src/engine/index.js'
+import { Execution } from '../src/owner/execution.js'
+import type { BackendServer } from '../src/config/index.js'
 import { Suspects } from '../src/owner/index.js'
+import type { Tools } from '../src/owner/tools.js'
+import type { Work } from '../src/owner/work.js'
 import { type Ask, send } from '../standins/caller.js'
 import { Deployment } from '../standins/deployment.js'
 import type { EngineSpec } from '../standins/documents.js'
+import { settle } from './time.js'
 
 const RETENTION_MS = 1_000
 
@@ -31,6 +38,40 @@
   })
 })
 
+describe('a crash', () => {
+  // Load: a caller that sends a request again to another host the moment it hears that its server was lost.
+  it('is known to the other hosts before the caller hears of it', async () => {
+    const refused = err(new EngineFailure({ code: 'refused' }, 'the engine is gone'))
+    const broken = err(new EngineFailure({ code: 'broken' }, 'the connection ended'))
+    let tell = (): void => undefined
+    const told = new Promise<void>(resolve => { tell = resolve })
+    const tools = {
+      client: { create: async () => broken, resume: async () => refused },
+      homes: { take: async () => ({ ruling: 'done' }) },
+      clock: { now: () => 0, sleep: async () => undefined },
+      log: { warn: () => undefined },
+      onCrash: async () => await told
+    }
+    const health = { sent: () => undefined, failed: () => undefined }
+    const prefixes = { note: () => undefined }
+    const work = {
+      submission: { body: '{}', fingerprint: 'f' }, job: { id: 'r1' }, answer: { begin: () => undefined }
+    }
+    const execution = new Execution(tools as unknown as Tools, { name: 'e1', address: 'http://e1' } as BackendServer, {
+      health: health as never, prefixes: prefixes as never, onTokens: () => undefined
+    })
+    let isOver = false
+    const run = execution.run(work as unknown as Work).then(ending => {
+      isOver = true
+      return ending
+    })
+    await settle()
+    expect(isOver).toEqual(false)
+    tell()
+    expect((await run).outcome).toEqual('unknown')
+  })
+})
+
 describe('a request that crashes each server that runs it', { timeout: 60_000 }, () => {
   const deployment = new Deployment({
     hosts: 3,
