Drive moves of a service to a version: trial within the exposure bound, evidence, record

The scheduler gives the version a part of each route's requests, judges its answers beside those of the other versions by failures and by time, takes it back beyond chance, and ends the move when due; the host whose scheduler is asked writes the stage on condition, and a record goes before memory.

--- a/src/dispatch/frames.ts
+++ b/src/dispatch/frames.ts
@@ -36,6 +36,7 @@
 export function toPlace (job: Job, now: number): Place {
   return create(PlaceSchema, {
     service: job.service,
+    route: job.route,
     fingerprint: job.fingerprint,
     organisationRank: job.organisationRank,
     rank: job.rank,
@@ -67,6 +68,7 @@
   return {
     id,
     service: place.service,
+    route: place.route,
     fingerprint: place.fingerprint,
     organisationRank: place.organisationRank,
     rank: place.rank,
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -87,6 +87,7 @@
     this.delivery = undefined
     this.ticket = context.dispatcher.request({
       service: this.service,
+      route: route.name,
       fingerprint: request.fingerprint,
       organisationRank: request.organisation?.rank ?? 0,
       rank: route.rank,
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -12,6 +12,18 @@
   deploymentChanged (deployment: Deployment): void
   serversChanged (): void
   membersChanged (): void
+
+  /**
+   * @param row - a row of the operators' table that holds no deployment
+   * @returns whether it is an order whose reports are to be followed
+   */
+  operatorOrdered (row: Row): boolean
+
+  /** @param row - what was reported to the operators */
+  reportChanged (row: Row): void
+
+  /** @param storeMs - the store's clock, in milliseconds */
+  storeTold (storeMs: number): void
 }
 
 /** What this host knows of deployment, backend servers and other hosts, from the store and from other hosts. */
@@ -20,7 +32,10 @@
   readonly membership: Membership
   readonly gossip: Gossip
   private readonly replicas: readonly Replica[]
-  private followers: readonly Follower[] = []
+  private readonly reports: Replica
+  private followers: Follower[] = []
+  private isFollowing = false
+  private followsReports = false
   private known: Deployment | undefined
   private hadServers = false
 
@@ -45,7 +60,8 @@
       new Replica(tables.servers, row => this.serverRow(row)),
       new Replica(tables.members, row => this.memberRow(row))
     ]
-    this.gossip = new Gossip(this.replicas, clock, () => this.lagged())
+    this.reports = new Replica(tables.reports, row => this.watcher.reportChanged(row))
+    this.gossip = new Gossip([...this.replicas, this.reports], clock, () => this.lagged())
   }
 
   /** The newest deployment, or undefined if none is known yet. */
@@ -60,14 +76,15 @@
 
   /** Starts to follow the store, and tells the other hosts of this one. */
   start (): void {
-    this.followers = this.replicas.map(replica => {
-      return new Follower(this.platform.store, replica, () => this.storeReturned(replica), this.clock, this.log)
-    })
+    this.isFollowing = true
+    for (const replica of this.replicas) this.follow(replica)
+    if (this.followsReports) this.follow(this.reports)
     void this.membership.join()
   }
 
   /** Stops following the store. */
   close (): void {
+    this.isFollowing = false
     for (const follower of this.followers) follower.close()
   }
 
@@ -77,13 +94,31 @@
     for (const follower of this.followers) follower.restart()
   }
 
+  private follow (replica: Replica): void {
+    this.followers.push(new Follower(this.platform.store, replica, {
+      returned: () => this.storeReturned(replica),
+      told: storeMs => this.watcher.storeTold(storeMs)
+    }, this.clock, this.log))
+  }
+
+  /** Reports are followed from the first order on, since each call to the store has its price. */
+  private followReports (): void {
+    if (this.followsReports) return
+    this.followsReports = true
+    if (this.isFollowing) this.follow(this.reports)
+  }
+
   private storeReturned (replica: Replica): void {
     if (replica.table === this.platform.tables.servers) this.fleet.storeReturned(this.clock.now())
   }
 
   private operatorRow (row: Row): void {
     const deployment = this.platform.readDeployment(row)
-    if (deployment === undefined || deployment.revision <= (this.known?.revision ?? -1)) return
+    if (deployment === undefined) {
+      if (this.watcher.operatorOrdered(row)) this.followReports()
+      return
+    }
+    if (deployment.revision <= (this.known?.revision ?? -1)) return
     this.known = deployment
     this.log.info({ event: 'deployment', revision: deployment.revision }, 'deployment')
     this.watcher.deploymentChanged(deployment)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import { Scheduler } from '../schedule/index.js'
 import { Absence } from './absence.js'
 import { Directory } from './directory.js'
+import { Mover } from './mover.js'
 import type { Platform } from './platform.js'
 import { Readiness } from './readiness.js'
 import type { GatewaySettings } from './settings.js'
@@ -34,6 +35,7 @@
   private readonly choice: Choice
   private readonly ingress: Ingress
   private readonly directory: Directory
+  private readonly mover: Mover
   private isStopping = false
   private isTaking = true
   private refreshedAt = 0
@@ -55,10 +57,14 @@
     this.directory = new Directory(platform, { host, address: `${links.ip}:${links.port}` }, {
       deploymentChanged: deployment => this.deploymentChanged(deployment),
       serversChanged: () => this.serversChanged(),
-      membersChanged: () => this.membersChanged()
+      membersChanged: () => this.membersChanged(),
+      operatorOrdered: row => this.mover.takeOrder(row, this.clock.now()),
+      reportChanged: row => this.mover.takeReport(row),
+      storeTold: storeMs => this.mover.hearTime(storeMs, this.clock.now())
     }, clock, log)
     const { gossip, fleet } = this.directory
-    const scheduler = new Scheduler(settings.repeats, settings.tolerance, settings.isFirstStart)
+    const scheduler = new Scheduler(settings.bounds, settings.isFirstStart)
+    this.mover = new Mover(platform, scheduler.moves, log)
     this.hub = new Hub(scheduler, gossip, clock)
     this.dispatcher = new Dispatcher(clock)
     this.choice = new Choice(host, links.ip, this.hub, this.dispatcher, gossip, clock, (scheduler, reason) => {
@@ -152,9 +158,15 @@
     for (const error of await this.lifecycle.close()) this.log.error({ event: 'close-failed', reason: error.message })
   }
 
+  /** Whether the scheduler of this process is the one that it asks itself. */
+  private get isInCharge (): boolean {
+    return this.choice.current === this.settings.host
+  }
+
   private tick (): void {
     const now = this.clock.now()
     if (now - this.refreshedAt >= REFRESH_MS) this.refresh(now)
+    if (this.mover.hasOrders) this.mover.tick(this.isInCharge, now)
     this.directory.gossip.tick()
     this.choice.tick()
     this.hub.tick()
@@ -168,7 +180,7 @@
     const members = Math.max(1, this.directory.membership.list().length)
     const linked = new Set([...this.hub.hosts, this.settings.host])
     this.hub.scheduler.setPart(Math.min(1, linked.size / members), now)
-    if (this.choice.current === this.settings.host) this.absence.look(this.directory.membership, linked, now)
+    if (this.isInCharge) this.absence.look(this.directory.membership, linked, now)
     else this.absence.forget()
   }
 
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,4 +1,4 @@
-import type { RepeatBounds, Tolerance } from '../schedule/index.js'
+import type { ScheduleBounds } from '../schedule/index.js'
 
 /** An IP number and a port. */
 export interface Endpoint {
@@ -21,7 +21,5 @@
   readonly graceMs: number
   /** Whether the whole system starts for the first time. */
   readonly isFirstStart: boolean
-  readonly repeats: RepeatBounds
-  /** By how much organisations may go over their allowances. */
-  readonly tolerance: Tolerance
+  readonly bounds: ScheduleBounds
 }
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -2,6 +2,6 @@
 export type { Job } from './job.js'
 export { Outcome } from './outcome.js'
 export { type Effect, Refusal } from './effect.js'
-export type { RepeatBounds } from './repeats.js'
+export type { ScheduleBounds } from './bounds.js'
 export { Scheduler } from './scheduler.js'
-export type { Tolerance } from './allowance.js'
+export type { Moves } from './moves.js'
--- a/src/schedule/job.ts
+++ b/src/schedule/job.ts
@@ -3,6 +3,8 @@
   /** Unique over all hosts. */
   readonly id: string
   readonly service: string
+  /** Name of its route. */
+  readonly route: string
   /** Alike for requests with the same path, organisation and body. */
   readonly fingerprint: string
   /** Rank of its organisation, compared before its own; 0 is the highest. */
--- /dev/null
+++ b/src/schedule/lane.ts
@@ -0,0 +1,13 @@
+import { Line } from './line.js'
+import { type RepeatBounds, Repeats } from './repeats.js'
+
+/** What the scheduler keeps of one service: who waits, and the second sends. */
+export class Lane {
+  readonly line = new Line()
+  readonly repeats: Repeats
+
+  /** @param bounds - what bounds repeats */
+  constructor (bounds: RepeatBounds) {
+    this.repeats = new Repeats(bounds)
+  }
+}
--- a/src/schedule/load.ts
+++ b/src/schedule/load.ts
@@ -154,10 +154,18 @@
     return own + way + failures + unfinished + RUNNING_MS * this.running.size
   }
 
+  /**
+   * @param job - asks for a place
+   * @returns how long it would take here to its last event, in milliseconds
+   */
+  expectedMs (job: Job): number {
+    if (job.promptTokens === 0) return this.pace.stepMs
+    return this.pace.firstEventMs(this.unreadTokens + job.promptTokens) + job.events * this.pace.stepMs
+  }
+
   /** The part of its caller's remaining time that a job would take here. */
   private finishPart (job: Job, now: number): number {
-    const firstMs = this.pace.firstEventMs(this.unreadTokens + job.promptTokens)
-    return (firstMs + job.events * this.pace.stepMs) / Math.max(1, job.deadlineAt - now)
+    return this.expectedMs(job) / Math.max(1, job.deadlineAt - now)
   }
 }
 
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -1,30 +1,27 @@
 import { type BackendServer, sameIncarnation } from '../fleet/index.js'
 import { Crashes } from '../poison/index.js'
 import type { Organisation } from '../routing/index.js'
-import { type Tolerance, UNKNOWN_LEVEL } from './allowance.js'
+import { UNKNOWN_LEVEL } from './allowance.js'
 import { Allowances } from './allowances.js'
+import type { ScheduleBounds } from './bounds.js'
 import { type Effect, Refusal } from './effect.js'
 import type { Job } from './job.js'
-import { Line } from './line.js'
-import { cheapest, Load } from './load.js'
+import { Lane } from './lane.js'
+import { Load } from './load.js'
+import { Moves } from './moves.js'
 import { Outcome } from './outcome.js'
 import { patienceMs, retryAfterMs } from './patience.js'
-import { type RepeatBounds, Repeats } from './repeats.js'
 
 /** When the caller of a request that crashes servers may come back, in milliseconds: after it is forgotten. */
 const CRASHES_RETRY_MS = 120_000
 
-interface Lane {
-  readonly line: Line
-  readonly repeats: Repeats
-}
-
 /**
  * Decides which server each job gets and when. It sees the work of all hosts
  * that ask it, does no input or output, and is given the time. All of it may be
  * lost: hosts tell their running work to the next one.
  */
 export class Scheduler {
+  readonly moves: Moves
   private readonly loads = new Map<string, Load>()
   private readonly lanes = new Map<string, Lane>()
   private readonly allowances: Allowances
@@ -32,12 +29,12 @@
   private part = 1
 
   /**
-   * @param bounds - what bounds repeats
-   * @param tolerance - by how much allowances may be overdrawn
+   * @param bounds - as operators bear them
    * @param isFirstStart - whether nothing can have been used before
    */
-  constructor (private readonly bounds: RepeatBounds, tolerance: Tolerance, isFirstStart = false) {
-    this.allowances = new Allowances(tolerance, isFirstStart ? 1 : UNKNOWN_LEVEL)
+  constructor (private readonly bounds: ScheduleBounds, isFirstStart = false) {
+    this.moves = new Moves(bounds.exposure)
+    this.allowances = new Allowances(bounds.tolerance, isFirstStart ? 1 : UNKNOWN_LEVEL)
   }
 
   /**
@@ -109,6 +106,7 @@
     const load = this.loads.get(server)
     if (load === undefined) return
     load.begin(job, now)
+    this.moves.granted(job, load.server)
     if (hasStarted) load.running.get(job.id)!.startedAt = now
   }
 
@@ -141,6 +139,7 @@
     if (load === undefined) return []
     const run = load.running.get(job)
     if (run !== undefined && outcome === Outcome.broken) this.crashes.broke(run.job.fingerprint, server, now)
+    if (run !== undefined) this.moves.saw(load.server, run, outcome, stepMs, now)
     if (outcome === Outcome.unreachable) this.crashes.lost(server, now)
     load.end(job, outcome, stepMs, now)
     return this.serve(load.server.service, now)
@@ -192,6 +191,7 @@
   dump (): unknown {
     return {
       part: this.part,
+      moves: this.moves.dump(),
       waiting: [...this.lanes].map(([service, lane]) => ({ service, jobs: lane.line.size })),
       servers: [...this.loads].map(([id, load]) => ({
         id,
@@ -210,12 +210,14 @@
     if (lane === undefined || lane.line.size === 0) return []
     const loads = [...this.loads.values()].filter(load => load.server.service === service)
     const effects: Effect[] = []
+    this.moves.of(service, now)
     let open = loads.filter(load => load.freePlaces(this.part, now) > 0)
     for (const job of lane.line.list(now)) {
-      const load = cheapest(open, job, now)
+      const load = this.moves.choose(loads, open, job, now)
       if (load !== undefined) {
         lane.line.remove(job.id)
         load.begin(job, now)
+        this.moves.granted(job, load.server)
         open = open.filter(each => each !== load || each.freePlaces(this.part, now) > 0)
         effects.push({ kind: 'grant', job: job.id, server: load.server.id })
       } else if (now - job.arrivedAt >= patienceMs(job)) {
@@ -239,7 +241,7 @@
   private laneOf (service: string): Lane {
     let lane = this.lanes.get(service)
     if (lane === undefined) {
-      lane = { line: new Line(), repeats: new Repeats(this.bounds) }
+      lane = new Lane(this.bounds.repeats)
       this.lanes.set(service, lane)
     }
     return lane
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -14,6 +14,15 @@
 const FIRST_RETRY_MS = 100
 const LONGEST_RETRY_MS = 800
 
+/** Is told of the store that a follower calls. */
+export interface StoreWatcher {
+  /** The store answers again after it was away. */
+  returned (): void
+
+  /** @param storeMs - the store's clock with an answer whose rows are taken next, in milliseconds */
+  told (storeMs: number): void
+}
+
 /** Keeps up with one table. */
 export class Follower {
   private isRunning = true
@@ -24,14 +33,14 @@
   /**
    * @param store - the store
    * @param replica - takes what the table holds
-   * @param onReturn - told that the store answers again after it was away
+   * @param watcher - is told of the store
    * @param clock - waits; steady
    * @param log - told when the store is lost and regained
    */
   constructor (
     private readonly store: Store,
     private readonly replica: Replica,
-    private readonly onReturn: () => void,
+    private readonly watcher: StoreWatcher,
     private readonly clock: Clock,
     private readonly log: Logger
   ) {
@@ -71,7 +80,7 @@
     const listed = await this.store.list(this.replica.table)
     if (!this.isRunning) return false
     if (listed.isErr()) return this.failed(listed.error)
-    this.succeeded()
+    this.succeeded(listed.value.storeMs)
     this.after = listed.value.revision
     this.replica.replace(listed.value.rows, listed.value.revision, this.clock.now())
     return false
@@ -86,7 +95,7 @@
       this.after = undefined
       return true
     }
-    this.succeeded()
+    this.succeeded(changes.value.storeMs)
     this.after = Math.max(after, changes.value.revision)
     for (const row of changes.value.rows) this.replica.apply(row, this.clock.now())
     return changes.value.rows.length > 0
@@ -99,10 +108,11 @@
     }
   }
 
-  private succeeded (): void {
+  private succeeded (storeMs: number): void {
+    this.watcher.told(storeMs)
     if (this.failures === 0) return
     this.log.info({ event: 'store-regained', table: this.replica.table, failures: this.failures }, 'store-regained')
     this.failures = 0
-    this.onReturn()
+    this.watcher.returned()
   }
 }
--- a/src/store/row.ts
+++ b/src/store/row.ts
@@ -12,6 +12,8 @@
 export interface Rows {
   readonly rows: readonly Row[]
   readonly revision: number
+  /** The store's steady clock when they were read, in milliseconds. */
+  readonly storeMs: number
 }
 
 /** One change of a transaction. */
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -33,7 +33,8 @@
     store = new RowStore(standin.address)
     standin.put('servers', 'a', { at: 1 })
     const replica = new Replica('servers', row => seen.set(row.key, row))
-    follower = new Follower(store, replica, () => { returns++ }, new SteadyClock(), log)
+    const watcher = { returned: () => { returns++ }, told: () => undefined }
+    follower = new Follower(store, replica, watcher, new SteadyClock(), log)
     // The outages below are to meet a call that waits, not one that is still on its way.
     await until(() => seen.has('a') && standin.waitingCalls === 1)
   })
--- a/test/allowance.test.ts
+++ b/test/allowance.test.ts
@@ -18,7 +18,7 @@
 
   // After all hosts lost power, the first one back counts for itself alone until the others link to it.
   it('grow with the hosts that come in, and are full at the very first start', () => {
-    const scheduler = new Scheduler(WIDE.repeats, WIDE.tolerance, true)
+    const scheduler = new Scheduler(WIDE, true)
     scheduler.setServers([server('a', { slots: 1_000 })])
     scheduler.setOrganisations([{ ...organisation('o'), ratePerS: 1, burst: 60 }], 0)
     scheduler.setPart(1 / 6, 0)
@@ -68,7 +68,7 @@
 
 describe('repeats', () => {
   it('stay under their budget', () => {
-    const scheduler = new Scheduler({ ratio: 0.2, windowMs: 10_000, slack: 10 }, WIDE.tolerance)
+    const scheduler = new Scheduler({ ...WIDE, repeats: { ratio: 0.2, windowMs: 10_000, slack: 10 } })
     scheduler.setServers([server('a', { slots: 1_000 })])
     for (let i = 0; i < 100; i++) scheduler.ask(job(`f${i}`), 0)
     const effects = Array.from({ length: 100 }, (_, at) => {
--- a/test/deployed.test.ts
+++ b/test/deployed.test.ts
@@ -36,7 +36,7 @@
     `internal_port_range = [${port + 3},${port + 5}]`,
     '[listen]', `front = "127.0.0.1:${port}"`, `readiness = "127.0.0.1:${port + 1}"`,
     '[bounds]', 'grace_s = 5', 'retry_budget_ratio = 0.2', 'retry_window_s = 10', 'budget_slack = 50',
-    'quota_overshoot = 0.1', 'quota_slack = 1000', '[platform]', `address = "${storeAddress}"`
+    'quota_overshoot = 0.1', 'quota_slack = 1000', 'exposure_share = 0.1', 'exposure_slack = 50', '[platform]', `address = "${storeAddress}"`
   ].join('\n'))
   const env = { ...process.env, MARIGOLDVALVE_CONFIG: settings }
   const child = spawn(process.execPath, ['target/marigoldvalve.cjs'], { env, stdio: ['ignore', 'pipe', 'pipe'] })
@@ -56,6 +56,13 @@
   }
 }
 
+async function startServer (): Promise<ScriptedServer> {
+  return await ScriptedServer.start((text, _, socket) => {
+    const id = /attempt-id: (\w+)/i.exec(text)?.[1] ?? ''
+    answer(socket, '200 OK', 'done', [`Attempt-Id: ${id}`, 'Response-Signature: s1'])
+  })
+}
+
 const DEPLOYMENT = {
   version: 1,
   routes: [{ name: 'r', host: 'a.example', prefix: '/x/', kind: 'unsafe', timeout_ms: 2000, target_latency_ms: 300, service: 's', max_attempts: 1 }],
@@ -69,13 +76,11 @@
   const hosts: Host[] = []
   let store: RowsStandin
   let server: ScriptedServer
+  const fresh: ScriptedServer[] = []
 
   before(async () => {
     store = await RowsStandin.start()
-    server = await ScriptedServer.start((text, _, socket) => {
-      const id = /attempt-id: (\w+)/i.exec(text)?.[1] ?? ''
-      answer(socket, '200 OK', 'done', [`Attempt-Id: ${id}`, 'Response-Signature: s1'])
-    })
+    server = await startServer()
     for (let number = 0; number < HOSTS; number++) hosts.push(startHost(folder, number, store.address))
   })
 
@@ -83,6 +88,7 @@
     for (const host of hosts) host.process.kill('SIGKILL')
     store.close()
     server.close()
+    for (const started of fresh) started.close()
     rmSync(folder, { recursive: true })
   })
 
@@ -126,6 +132,24 @@
     store.fault = undefined
   })
 
+  it('moves a service to a version, says so, and then uses that version alone', async () => {
+    const started = await startServer()
+    fresh.push(started)
+    store.put('servers', 'i-2', {
+      service: 's', address: started.address, zone: 'z', version: 'v2', slots: 4, state: 'ready', born: 1
+    })
+    const state = (): unknown => (store.read('status', 'rollout/s') as { state: string } | undefined)?.state
+    store.put('op', 'rollout/s', { service: 's', to: 'v2', duration_s: 3 })
+    await until(() => state() === 'running')
+    const before = server.requests.length
+    for (let i = 0; i < 120; i++) expect(await call(hosts[i % HOSTS]!, 'k2')).toEqual(200)
+    expect(started.requests.length > 0 && started.requests.length < server.requests.length - before).toEqual(true)
+    await until(() => state() === 'completed')
+    const old = server.requests.length
+    for (let i = 0; i < 10; i++) expect(await call(hosts[i % HOSTS]!, 'k2')).toEqual(200)
+    expect(server.requests.length).toEqual(old)
+  })
+
   it('tells its state, and ends within its grace time when it is stopped', async () => {
     const [first] = hosts
     first!.process.kill('SIGUSR2')
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -11,7 +11,7 @@
 
 /** A host with a scheduler, linked to others on loopback; it follows no store. */
 class TestHost {
-  readonly scheduler = new Scheduler(WIDE.repeats, WIDE.tolerance)
+  readonly scheduler = new Scheduler(WIDE)
   readonly rows = new Map<string, Row>()
   readonly replica = new Replica('rows', row => this.rows.set(row.key, row))
   lags = 0
--- a/test/jobs.ts
+++ b/test/jobs.ts
@@ -8,6 +8,7 @@
   return {
     id,
     service: 's',
+    route: 'r',
     fingerprint: id,
     organisationRank: 0,
     rank: 1,
@@ -36,7 +37,7 @@
 }
 
 export function schedulerOf (...servers: BackendServer[]): Scheduler {
-  const scheduler = new Scheduler(WIDE.repeats, WIDE.tolerance)
+  const scheduler = new Scheduler(WIDE)
   scheduler.setServers(servers)
   return scheduler
 }
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -22,7 +22,11 @@
 }
 
 /** Bounds with room for everything. */
-export const WIDE = { repeats: { ratio: 1, windowMs: 10_000, slack: 1_000 }, tolerance: { part: 0, units: 0 } }
+export const WIDE = {
+  repeats: { ratio: 1, windowMs: 10_000, slack: 1_000 },
+  tolerance: { part: 0, units: 0 },
+  exposure: { part: 0.1, slack: 50 }
+}
 
 /** @returns a route with what is stated, the rest being usual */
 export function route (stated: Partial<Route> = {}): Route {
@@ -119,7 +123,7 @@
   isTaking = true
   private readonly lifecycle = new Lifecycle()
   private readonly clock = new SteadyClock()
-  private readonly scheduler = new Scheduler(WIDE.repeats, WIDE.tolerance)
+  private readonly scheduler = new Scheduler(WIDE)
   private readonly servers: BackendServer[] = []
   private port = 0
 
--- a/test/schedule.fuzz.test.ts
+++ b/test/schedule.fuzz.test.ts
@@ -108,7 +108,7 @@
   it('decides each job once, fills no server beyond its places, keeps ranks and allowances', () => {
     const step = fc.oneof({ weight: 6, arbitrary: ask }, { weight: 4, arbitrary: end }, withdraw, pass, change)
     fc.assert(fc.property(fc.array(step, { maxLength: 120 }), steps => {
-      const scheduler = new Scheduler(WIDE.repeats, WIDE.tolerance, true)
+      const scheduler = new Scheduler(WIDE, true)
       const model = new Model(scheduler)
       scheduler.setServers(SERVERS)
       const organisations = ORGANISATIONS.map(name => ({ ...organisation(name), ratePerS: RATE_PER_S, burst: BURST }))
--- a/tools/slopes-schedule.ts
+++ b/tools/slopes-schedule.ts
@@ -8,7 +8,7 @@
 
 for (const servers of [8, 30, 80, 300]) {
   for (const waiting of [0, 50, 200]) {
-    const scheduler = new Scheduler(WIDE.repeats, WIDE.tolerance)
+    const scheduler = new Scheduler(WIDE)
     const list = Array.from({ length: servers }, (_, at) => server(`s${at}`, { slots: 10 }))
     scheduler.setServers(list)
     const places = servers * 10
