Link the next scheduler before leaving the last; take full shares as soon as hosts are linked

Now a scheduler that leaves is asked until the next one is linked, one that is lost is replaced within 120 ms or the host decides by itself, and shares follow the links at once.

--- a/src/dispatch/choice.ts
+++ b/src/dispatch/choice.ts
@@ -28,6 +28,12 @@
 /** A link that failed is tried again after this time, in milliseconds. */
 const RETRY_MS = 600
 
+/**
+ * Time in which the next scheduler must be linked after the last one was lost, in milliseconds: many ways there and
+ * back. Asks wait meanwhile, since a host by itself does not know what the others have running.
+ */
+const CHANGE_MS = 120
+
 /** Chooses the scheduler that this host asks: the first member in the ranking that it reaches. */
 export class Choice {
   private ranked: Member[] = []
@@ -35,6 +41,8 @@
   private opening: { member: Member, link: Link, since: number } | undefined
   private linkedTo: Member | undefined
   private isLocal = false
+  /** When the last scheduler was lost and why, until there is another. */
+  private lost: { readonly at: number, readonly reason: string } | undefined
   private readonly failedAt = new Map<string, number>()
 
   /**
@@ -67,15 +75,16 @@
     const byHost = new Map(members.map(member => [member.host, member]))
     this.ranked = new Ranking(byHost.keys()).top(RANKING_KEY, byHost.size).map(host => byHost.get(host)!)
     const current = this.linkedTo === undefined ? undefined : byHost.get(this.linkedTo.host)
-    if (this.link !== undefined && current?.address !== this.linkedTo?.address) {
-      this.link.close('the member is gone or was replaced')
+    // A member that leaves answers until another one is linked.
+    if (this.link !== undefined && current !== undefined && current.address !== this.linkedTo?.address) {
+      this.link.close('the member was replaced')
     }
     this.tick()
   }
 
-  /** The host whose scheduler is asked. */
-  get current (): string {
-    return this.linkedTo?.host ?? this.host
+  /** The host whose scheduler is asked; undefined while the next one is being linked. */
+  get current (): string | undefined {
+    return this.isLocal ? this.host : this.linkedTo?.host
   }
 
   /** Tells the chosen host what this one knows of the store. */
@@ -88,6 +97,7 @@
     const now = this.clock.now()
     this.watch(now)
     this.openBetter(now)
+    if (this.lost !== undefined && now - this.lost.at > CHANGE_MS) this.useLocal(this.lost.reason)
   }
 
   /** Closes the links. */
@@ -154,6 +164,7 @@
 
   private useLink (member: Member, link: Link): void {
     this.opening = undefined
+    this.lost = undefined
     const before = this.link
     this.link = link
     this.linkedTo = member
@@ -166,11 +177,17 @@
   private linkDown (member: Member, link: Link, reason: string): void {
     if (this.opening?.link === link) this.opening = undefined
     else if (this.link !== link) return
-    this.failedAt.set(member.host, this.clock.now())
-    if (this.link === link) this.useLocal(`${member.host}: ${reason}`)
+    const now = this.clock.now()
+    this.failedAt.set(member.host, now)
+    if (this.link !== link) return
+    this.link = undefined
+    this.linkedTo = undefined
+    this.lost = { at: now, reason: `${member.host}: ${reason}` }
+    this.openBetter(now)
   }
 
   private useLocal (reason: string): void {
+    this.lost = undefined
     const before = this.link
     this.link = undefined
     this.linkedTo = undefined
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -15,8 +15,14 @@
    * @param scheduler - decides
    * @param gossip - tells other hosts what they lack
    * @param clock - steady time
+   * @param onHosts - told that a host came or went, before its first ask is taken
    */
-  constructor (readonly scheduler: Scheduler, private readonly gossip: Gossip, private readonly clock: Clock) {}
+  constructor (
+    readonly scheduler: Scheduler,
+    private readonly gossip: Gossip,
+    private readonly clock: Clock,
+    private readonly onHosts: () => void = () => undefined
+  ) {}
 
   /**
    * Takes a host in. An earlier connection of the same host is replaced.
@@ -28,6 +34,7 @@
   connect (host: string, take: TakeReply): Port {
     this.disconnect(host)
     this.takers.set(host, take)
+    this.onHosts()
     return { send: ask => { if (this.takers.get(host) === take) this.receive(host, ask) } }
   }
 
@@ -43,6 +50,7 @@
     this.takers.delete(host)
     const prefix = jobId(host, '')
     this.scheduler.forget(id => id.startsWith(prefix))
+    this.onHosts()
   }
 
   /** @returns the names of the hosts that are connected */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -65,7 +65,7 @@
     const { gossip, fleet } = this.directory
     const scheduler = new Scheduler(settings.bounds, settings.isFirstStart)
     this.mover = new Mover(platform, scheduler.moves, log)
-    this.hub = new Hub(scheduler, gossip, clock)
+    this.hub = new Hub(scheduler, gossip, clock, () => this.hostsChanged())
     this.dispatcher = new Dispatcher(clock)
     this.choice = new Choice(host, links.ip, this.hub, this.dispatcher, gossip, clock, (scheduler, reason) => {
       log.info({ event: 'scheduler-chosen', scheduler, reason }, 'scheduler-chosen')
@@ -177,13 +177,22 @@
   private refresh (now: number): void {
     this.refreshedAt = now
     this.hub.scheduler.setServers(this.directory.fleet.all(now))
-    const members = Math.max(1, this.directory.membership.list().length)
-    const linked = new Set([...this.hub.hosts, this.settings.host])
-    this.hub.scheduler.setPart(Math.min(1, linked.size / members), now)
-    if (this.isInCharge) this.absence.look(this.directory.membership, linked, now)
+    this.hostsChanged()
+    if (this.isInCharge) this.absence.look(this.directory.membership, this.linkedHosts, now)
     else this.absence.forget()
   }
 
+  /** The hosts whose work this scheduler sees. */
+  private get linkedHosts (): Set<string> {
+    return new Set([...this.hub.hosts, this.settings.host])
+  }
+
+  /** A scheduler that was just chosen has its full shares as soon as the hosts are linked. */
+  private hostsChanged (): void {
+    const members = Math.max(1, this.directory.membership.list().length)
+    this.hub.scheduler.setPart(Math.min(1, this.linkedHosts.size / members), this.clock.now())
+  }
+
   private deploymentChanged (deployment: Deployment): void {
     this.ingress.setLimits(deployment.limits)
     this.hub.scheduler.setOrganisations(deployment.organisations, this.clock.now())
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -14,22 +14,27 @@
   readonly scheduler = new Scheduler(WIDE)
   readonly rows = new Map<string, Row>()
   readonly replica = new Replica('rows', row => this.rows.set(row.key, row))
+  /** The schedulers that were chosen, in order. */
+  readonly chosen: string[] = []
   lags = 0
   readonly gossip = new Gossip([this.replica], clock, () => { this.lags++ })
   readonly hub = new Hub(this.scheduler, this.gossip, clock)
   readonly dispatcher = new Dispatcher(clock)
   readonly choice: Choice
+  address = ''
   private readonly listener = new DispatchListener(this.hub)
   private readonly timer: NodeJS.Timeout
 
   constructor (readonly name: string, ip: string) {
-    this.choice = new Choice(name, ip, this.hub, this.dispatcher, this.gossip, clock, () => undefined)
+    this.choice = new Choice(name, ip, this.hub, this.dispatcher, this.gossip, clock, scheduler => {
+      this.chosen.push(scheduler)
+    })
     this.timer = setInterval(() => this.tick(), 10)
   }
 
   async listen (): Promise<Member> {
-    const port = await this.listener.listen('127.0.0.1', 0)
-    return { host: this.name, address: `127.0.0.1:${port}` }
+    this.address = `127.0.0.1:${await this.listener.listen('127.0.0.1', 0)}`
+    return { host: this.name, address: this.address }
   }
 
   /** Stops everything but the sockets' own answers, as a frozen host does. */
@@ -105,6 +110,25 @@
     expect(more.filter(({ placements }) => placements.length === 1).length).toEqual(1)
   })
 
+  // Load: hosts are replaced in turn at the peak; each by itself would fill the servers with its own share.
+  it('do not decide by themselves between a scheduler that is lost and the next one', async () => {
+    const [first, second, third, fourth] = await start(4)
+    for (const host of hosts) host.chosen.length = 0
+    first!.close()
+    await until(() => fourth!.choice.current === second!.name && third!.choice.current === second!.name)
+    expect([third!.chosen, fourth!.chosen]).toEqual([[second!.name], [second!.name]])
+  })
+
+  it('ask one that leaves until the next one is linked', async () => {
+    const [first, second, third] = await start(3)
+    const members = [second!, third!].map(host => ({ host: host.name, address: host.address }))
+    for (const host of hosts) host.chosen.length = 0
+    for (const host of hosts) host.choice.setMembers(members)
+    expect(third!.choice.current).toEqual(first!.name)
+    await until(() => third!.choice.current === second!.name)
+    expect(third!.chosen).toEqual([second!.name])
+  })
+
   it('keep a link that was idle when the next request comes', async () => {
     const [first, second] = await start(2)
     for (let i = 0; i < 3; i++) {
