Tell the next scheduler what is left of allowances and how fast servers are

Now each grant says what is left, hosts tell the newest to the next scheduler, and the one in charge tells what it learned once a second. Ruled out: replaying what each host used (a host with more than its share would show a debt that the organisation does not have). Shown: a window of an organisation that asks for far more holds with a change each 100 ms, and is over the bound with a change each second if nothing is told.

--- a/src/dispatch/choice.ts
+++ b/src/dispatch/choice.ts
@@ -157,6 +157,8 @@
       link.send(askFrame(0, { case: 'news', value: this.gossip.answer(body.value) }))
     } else if (body.case === 'news') {
       this.gossip.take(body.value)
+    } else if (body.case === 'paces') {
+      this.hub.scheduler.loads.tell(body.value.paces)
     } else {
       this.dispatcher.take(reply)
     }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -10,6 +10,8 @@
   private readonly tickets = new Map<number, TicketState>()
   private last = 0
   private port: Port | undefined
+  /** What schedulers had left of allowances when they last gave a place. */
+  private readonly levels = new Map<string, { readonly level: number, readonly at: number }>()
 
   /** @param clock - steady time */
   constructor (private readonly clock: Clock) {}
@@ -49,6 +51,8 @@
   use (port: Port): void {
     this.port = port
     const now = this.clock.now()
+    const levels = [...this.levels].map(([organisation, { level, at }]) => ({ organisation, level, ageMs: now - at }))
+    if (levels.length > 0) port.send(askFrame(0, { case: 'levels', value: { levels } }))
     for (const state of this.tickets.values()) {
       const { number, job, server, hasStarted } = state
       if (server === undefined) continue
@@ -78,6 +82,7 @@
     const { body } = reply
     if (body.case === 'grant') {
       state.server = body.value.server
+      this.heardLevel(state.job.organisation, body.value.level)
       state.take({ kind: 'granted', server: body.value.server })
     } else if (body.case === 'refused') {
       this.tickets.delete(state.number)
@@ -125,6 +130,11 @@
     this.port?.send(askFrame(state.number, { case: 'withdraw', value: { service: state.job.service } }))
   }
 
+  private heardLevel (organisation: string | undefined, level: number | undefined): void {
+    if (organisation === undefined || level === undefined) return
+    this.levels.set(organisation, { level, at: this.clock.now() })
+  }
+
   /** Gives back a place that was granted while the ask was on its way back. */
   private giveUp (reply: Reply): void {
     if (reply.body.case !== 'grant') return
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -65,6 +65,13 @@
     }
   }
 
+  /** Tells the hosts that ask this scheduler what it learned, for the one of them that follows it. */
+  tellPaces (): void {
+    const { paces } = this.scheduler.loads
+    if (paces.length === 0) return
+    for (const host of this.takers.keys()) this.reply(host, 0, { case: 'paces', value: { paces } })
+  }
+
   /** Looks at waiting jobs again, since time has passed. */
   tick (): void {
     if (this.scheduler.waiting > 0) this.deliver(this.scheduler.tick(this.clock.now()))
@@ -95,7 +102,10 @@
         break
       }
       case 'withdraw':
-        this.scheduler.withdraw(id, body.value.service)
+        this.scheduler.withdraw(id, body.value.service, now)
+        break
+      case 'levels':
+        this.scheduler.tellLevels(body.value.levels, now)
         break
       case 'ping':
         this.reply(host, 0, { case: 'pong', value: { standing: this.gossip.standing() } })
@@ -115,8 +125,10 @@
       const slash = effect.job.lastIndexOf('/')
       const host = effect.job.slice(0, slash)
       const job = Number(effect.job.slice(slash + 1))
-      if (effect.kind === 'grant') this.reply(host, job, { case: 'grant', value: { server: effect.server } })
-      else {
+      if (effect.kind === 'grant') {
+        const { server, level } = effect
+        this.reply(host, job, { case: 'grant', value: level === undefined ? { server } : { server, level } })
+      } else {
         const { reason, retryAfterMs } = effect
         this.reply(host, job, { case: 'refused', value: { reason, retryAfterMs } })
       }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,9 @@
 /** Time between two looks at which servers can be used, in milliseconds. */
 const REFRESH_MS = 500
 
+/** Time between two tellings of what the scheduler learned, in milliseconds: paces change within seconds. */
+const TELL_MS = 1_000
+
 /** How long a stopping host still takes connections, in milliseconds: the balancer needs two misses, a second apart. */
 const LEAVING_MS = 2_500
 
@@ -39,6 +42,7 @@
   private isStopping = false
   private isTaking = true
   private refreshedAt = 0
+  private toldAt = 0
   private readonly absence = new Absence()
 
   /**
@@ -166,6 +170,10 @@
   private tick (): void {
     const now = this.clock.now()
     if (now - this.refreshedAt >= REFRESH_MS) this.refresh(now)
+    if (now - this.toldAt >= TELL_MS) {
+      this.toldAt = now
+      if (this.isInCharge) this.hub.tellPaces()
+    }
     if (this.mover.hasOrders) this.mover.tick(this.isInCharge, now)
     this.directory.gossip.tick()
     this.choice.tick()
--- a/src/schedule/allowance.ts
+++ b/src/schedule/allowance.ts
@@ -24,10 +24,24 @@
 /** Part of the bucket that is full when the use before is not known, as after a change of scheduler. */
 export const UNKNOWN_LEVEL = 0.4
 
+/** How long an allowance remembers what it gave, in milliseconds: news of it that are older are not taken. */
+export const GIVEN_MEMORY_MS = 10_000
+
+/** Units that were given within this time count as one, in milliseconds: keeps the memory small. */
+const GIVEN_TOGETHER_MS = 50
+
+interface Given {
+  readonly at: number
+  units: number
+}
+
 /** What one organisation may still use: a bucket that fills at its rate. */
 export class Allowance {
   private level: number
   private filledAt: number
+  private given: Given[] = []
+  /** As of when another scheduler's level was told last. */
+  private toldAt = -Infinity
 
   /**
    * @param organisation - states rate and burst
@@ -80,14 +94,46 @@
     const wanted = Math.min(units + reserved, this.most)
     if (this.level >= wanted) {
       this.level -= units
+      this.remember(units, now)
       return 0
     }
     return (wanted - this.level) / this.ratePerMs
   }
 
-  /** @param units - taken before, and not used */
-  giveBack (units: number): void {
+  /**
+   * @param units - taken before, and not used
+   * @param now - steady time, in milliseconds
+   */
+  giveBack (units: number, now: number): void {
     this.level = Math.min(this.level + units, this.most)
+    this.remember(-units, now)
+  }
+
+  /**
+   * Takes over what another scheduler had left; what was given here since is taken off.
+   *
+   * @param part - of the bucket, below 0 for a debt
+   * @param at - as of when, steady milliseconds
+   * @param now - steady time, in milliseconds
+   */
+  tell (part: number, at: number, now: number): void {
+    if (at <= this.toldAt || now - at > GIVEN_MEMORY_MS) return
+    this.toldAt = at
+    const since = this.given.filter(given => given.at > at).reduce((sum, given) => sum + given.units, 0)
+    this.level = Math.min(this.most, part * this.most + (now - at) * this.ratePerMs) - since
+    this.filledAt = now
+  }
+
+  /** What is left, as a part of the bucket; below 0 for a debt. */
+  get left (): number {
+    return this.level / this.most
+  }
+
+  private remember (units: number, now: number): void {
+    const last = this.given.at(-1)
+    if (last !== undefined && now - last.at < GIVEN_TOGETHER_MS) last.units += units
+    else this.given.push({ at: now, units })
+    while (this.given.length > 0 && now - this.given[0]!.at > GIVEN_MEMORY_MS) this.given.shift()
   }
 
   private get most (): number {
--- a/src/schedule/allowances.ts
+++ b/src/schedule/allowances.ts
@@ -1,6 +1,18 @@
 import type { Organisation } from '../routing/index.js'
 import { Allowance, type Tolerance } from './allowance.js'
 
+/** Less of all hosts' work than this says little of what an organisation uses in all. */
+const TELLING_PART = 0.5
+
+/** What a scheduler had left of an allowance. */
+export interface AllowanceLevel {
+  readonly organisation: string
+  /** Part of the whole bucket; below 0 for a debt. */
+  readonly level: number
+  /** How old this is, in milliseconds. */
+  readonly ageMs: number
+}
+
 /** The allowances of all organisations. */
 export class Allowances {
   private readonly known = new Map<string, Allowance>()
@@ -46,22 +58,45 @@
    * @returns 0 if they were taken, else the time until there are enough, in milliseconds
    */
   take (name: string | undefined, units: number, rank: number, now: number): number {
-    const organisation = name === undefined ? undefined : this.organisations.get(name)
-    if (organisation === undefined) return 0
-    let allowance = this.known.get(organisation.name)
-    if (allowance === undefined) {
-      allowance = new Allowance(organisation, this.tolerance, this.part, this.level, now)
-      this.known.set(organisation.name, allowance)
-    }
-    return allowance.take(units, rank, now)
+    return this.of(name, now)?.take(units, rank, now) ?? 0
+  }
+
+  /**
+   * Takes over what another scheduler had left of an allowance.
+   *
+   * @param told - what it had left
+   * @param now - steady time, in milliseconds
+   */
+  tell (told: AllowanceLevel, now: number): void {
+    this.of(told.organisation, now)?.tell(told.level, now - told.ageMs, now)
+  }
+
+  /**
+   * @param name - the organisation's name, if any
+   * @returns what is left, as a part of the whole bucket; undefined if only a small part of it is kept here
+   */
+  left (name: string | undefined): number | undefined {
+    return name === undefined || this.part < TELLING_PART ? undefined : this.known.get(name)?.left
   }
 
   /**
    * @param name - the organisation's name, if any
    * @param units - taken before, and not used
+   * @param now - steady time, in milliseconds
    */
-  giveBack (name: string | undefined, units: number): void {
-    if (name !== undefined) this.known.get(name)?.giveBack(units)
+  giveBack (name: string | undefined, units: number, now: number): void {
+    if (name !== undefined) this.known.get(name)?.giveBack(units, now)
+  }
+
+  private of (name: string | undefined, now: number): Allowance | undefined {
+    const organisation = name === undefined ? undefined : this.organisations.get(name)
+    if (organisation === undefined) return undefined
+    let allowance = this.known.get(organisation.name)
+    if (allowance === undefined) {
+      allowance = new Allowance(organisation, this.tolerance, this.part, this.level, now)
+      this.known.set(organisation.name, allowance)
+    }
+    return allowance
   }
 
   private changeAll (now: number): void {
--- a/src/schedule/effect.ts
+++ b/src/schedule/effect.ts
@@ -17,5 +17,11 @@
 
 /** What the scheduler wants done. */
 export type Effect =
-  | { readonly kind: 'grant', readonly job: string, readonly server: string }
+  | {
+    readonly kind: 'grant'
+    readonly job: string
+    readonly server: string
+    /** What is left of the organisation's allowance, as a part of the whole bucket, if known. */
+    readonly level?: number
+  }
   | { readonly kind: 'refuse', readonly job: string, readonly reason: Refusal, readonly retryAfterMs: number }
--- a/src/schedule/pace.ts
+++ b/src/schedule/pace.ts
@@ -16,6 +16,18 @@
 /** What is assumed of a server that was never seen: pause between events or length of a call, in milliseconds. */
 const UNKNOWN_STEP_MS = 40
 
+/** How many tokens a reading pace that another scheduler learned weighs as much as. */
+const TOLD_WEIGHT_TOKENS = 20_000
+
+/** What one scheduler tells others of a server's pace. */
+export interface PaceSummary {
+  readonly server: string
+  /** Time that each prompt token adds before a first event, in milliseconds. */
+  readonly tokenMs: number
+  /** Mean pause between events, or length of a call; in milliseconds. */
+  readonly stepMs: number
+}
+
 /** How fast one server works, learned from what it did. */
 export class Pace {
   /** Time and tokens of the prompts that were read, older ones weighing less. */
@@ -40,6 +52,19 @@
     this.learnedStepMs = learn(this.learnedStepMs, stepMs)
   }
 
+  /** Whether anything was learned. */
+  get isKnown (): boolean {
+    return this.learnedStepMs !== undefined || this.readTokens > 0
+  }
+
+  /** @param told - what another scheduler learned of the server */
+  adopt ({ tokenMs, stepMs }: PaceSummary): void {
+    this.readTokens = TOLD_WEIGHT_TOKENS
+    this.readMs = Math.max(0, tokenMs * (TOLD_WEIGHT_TOKENS + UNKNOWN_WEIGHT_TOKENS) -
+      UNKNOWN_TOKEN_MS * UNKNOWN_WEIGHT_TOKENS)
+    this.learnedStepMs = stepMs
+  }
+
   /** Time that each prompt token adds before a first event, in milliseconds. */
   get tokenMs (): number {
     return (this.readMs + UNKNOWN_TOKEN_MS * UNKNOWN_WEIGHT_TOKENS) / (this.readTokens + UNKNOWN_WEIGHT_TOKENS)
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -1,13 +1,13 @@
-import { type BackendServer, sameIncarnation } from '../fleet/index.js'
+import type { BackendServer } from '../fleet/index.js'
 import { Crashes } from '../poison/index.js'
 import type { Organisation } from '../routing/index.js'
 import { UNKNOWN_LEVEL } from './allowance.js'
-import { Allowances } from './allowances.js'
+import { type AllowanceLevel, Allowances } from './allowances.js'
 import type { ScheduleBounds } from './bounds.js'
 import { type Effect, Refusal } from './effect.js'
 import type { Job } from './job.js'
 import { Lane } from './lane.js'
-import { Load } from './load.js'
+import { Loads } from './loads.js'
 import { Moves } from './moves.js'
 import { Outcome } from './outcome.js'
 import { patienceMs, retryAfterMs } from './patience.js'
@@ -21,8 +21,8 @@
  * lost: hosts tell their running work to the next one.
  */
 export class Scheduler {
+  readonly loads = new Loads()
   readonly moves: Moves
-  private readonly loads = new Map<string, Load>()
   private readonly lanes = new Map<string, Lane>()
   private readonly allowances: Allowances
   private readonly crashes = new Crashes()
@@ -43,13 +43,7 @@
    * @param servers - all of them
    */
   setServers (servers: readonly BackendServer[]): void {
-    const ids = new Set(servers.map(server => server.id))
-    for (const id of this.loads.keys()) if (!ids.has(id)) this.loads.delete(id)
-    for (const server of servers) {
-      const known = this.loads.get(server.id)
-      if (known !== undefined && sameIncarnation(known.server, server)) known.server = server
-      else this.loads.set(server.id, new Load(server))
-    }
+    this.loads.setServers(servers)
   }
 
   /**
@@ -82,9 +76,11 @@
    * @returns what is to be done, perhaps about other jobs too
    */
   ask (job: Job, now: number): Effect[] {
-    if (this.crashes.isConvicted(job.fingerprint, now)) return [this.refuse(job, Refusal.crashes, CRASHES_RETRY_MS)]
+    if (this.crashes.isConvicted(job.fingerprint, now)) {
+      return [this.refuse(job, Refusal.crashes, CRASHES_RETRY_MS, now)]
+    }
     const lane = this.laneOf(job.service)
-    if (job.isRepeat && !lane.repeats.take(this.part, now)) return [this.refuse(job, Refusal.budget, 0)]
+    if (job.isRepeat && !lane.repeats.take(this.part, now)) return [this.refuse(job, Refusal.budget, 0, now)]
     if (!job.isCharged) {
       const waitMs = this.allowances.take(job.organisation, job.units, job.rank, now)
       if (waitMs > 0) return [{ kind: 'refuse', job: job.id, reason: Refusal.allowance, retryAfterMs: waitMs }]
@@ -150,10 +146,11 @@
    *
    * @param job - the job's id
    * @param service - the job's service
+   * @param now - steady time, in milliseconds
    */
-  withdraw (job: string, service: string): void {
+  withdraw (job: string, service: string, now: number): void {
     const waiting = this.lanes.get(service)?.line.remove(job)
-    if (waiting !== undefined) this.giveBack(waiting)
+    if (waiting !== undefined) this.giveBack(waiting, now)
   }
 
   /**
@@ -162,9 +159,7 @@
    * @param isGone - whether a job of this id is gone
    */
   forget (isGone: (id: string) => boolean): void {
-    for (const load of this.loads.values()) {
-      for (const id of load.running.keys()) if (isGone(id)) load.running.delete(id)
-    }
+    this.loads.forget(isGone)
     for (const { line } of this.lanes.values()) {
       for (const job of line.list(0)) if (isGone(job.id)) line.remove(job.id)
     }
@@ -180,6 +175,16 @@
     return [...this.lanes.keys()].flatMap(service => this.serve(service, now))
   }
 
+  /**
+   * Takes over what the scheduler before had left of allowances.
+   *
+   * @param levels - what it had left, as a host heard it
+   * @param now - steady time, in milliseconds
+   */
+  tellLevels (levels: readonly AllowanceLevel[], now: number): void {
+    for (const level of levels) this.allowances.tell(level, now)
+  }
+
   /** How many jobs wait. */
   get waiting (): number {
     let count = 0
@@ -193,14 +198,7 @@
       part: this.part,
       moves: this.moves.dump(),
       waiting: [...this.lanes].map(([service, lane]) => ({ service, jobs: lane.line.size })),
-      servers: [...this.loads].map(([id, load]) => ({
-        id,
-        service: load.server.service,
-        running: load.running.size,
-        unreadTokens: load.unreadTokens,
-        tokenMs: load.pace.tokenMs,
-        stepMs: load.pace.stepMs
-      }))
+      servers: this.loads.dump()
     }
   }
 
@@ -208,7 +206,7 @@
   private serve (service: string, now: number): Effect[] {
     const lane = this.lanes.get(service)
     if (lane === undefined || lane.line.size === 0) return []
-    const loads = [...this.loads.values()].filter(load => load.server.service === service)
+    const loads = this.loads.of(service)
     const effects: Effect[] = []
     this.moves.of(service, now)
     let open = loads.filter(load => load.freePlaces(this.part, now) > 0)
@@ -219,23 +217,24 @@
         load.begin(job, now)
         this.moves.granted(job, load.server)
         open = open.filter(each => each !== load || each.freePlaces(this.part, now) > 0)
-        effects.push({ kind: 'grant', job: job.id, server: load.server.id })
+        const level = this.allowances.left(job.organisation)
+        effects.push({ kind: 'grant', job: job.id, server: load.server.id, ...(level === undefined ? {} : { level }) })
       } else if (now - job.arrivedAt >= patienceMs(job)) {
         lane.line.remove(job.id)
         const reason = loads.length === 0 ? Refusal.noServer : Refusal.capacity
-        effects.push(this.refuse(job, reason, retryAfterMs(job, now)))
+        effects.push(this.refuse(job, reason, retryAfterMs(job, now), now))
       }
     }
     return effects
   }
 
-  private refuse (job: Job, reason: Refusal, retryAfter: number): Effect {
-    if (reason !== Refusal.crashes) this.giveBack(job)
+  private refuse (job: Job, reason: Refusal, retryAfter: number, now: number): Effect {
+    if (reason !== Refusal.crashes) this.giveBack(job, now)
     return { kind: 'refuse', job: job.id, reason, retryAfterMs: retryAfter }
   }
 
-  private giveBack (job: Job): void {
-    if (!job.isCharged) this.allowances.giveBack(job.organisation, job.units)
+  private giveBack (job: Job, now: number): void {
+    if (!job.isCharged) this.allowances.giveBack(job.organisation, job.units, now)
   }
 
   private laneOf (service: string): Lane {
--- a/test/allowance.test.ts
+++ b/test/allowance.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { Refusal, Scheduler } from '../src/schedule/index.js'
+import { Outcome, Refusal, Scheduler } from '../src/schedule/index.js'
 import { granted, job, refused, schedulerOf, server } from './jobs.js'
 import { organisation, WIDE } from './rig.js'
 
@@ -60,12 +60,77 @@
     scheduler.ask(job('running', { organisation: 'o', rank: 0 }), 0)
     for (let i = 0; i < 20; i++) {
       scheduler.ask(job(`w${i}`, { organisation: 'o', rank: 0 }), 1)
-      scheduler.withdraw(`w${i}`, 's')
+      scheduler.withdraw(`w${i}`, 's', 1)
     }
     expect(refused(scheduler.ask(job('last', { organisation: 'o', rank: 0 }), 1))).toEqual([])
   })
 })
 
+describe('allowances over changes of scheduler', () => {
+  const TOLERANCE = { part: 0.1, units: 140_000 }
+  const RATE = 100_000
+  const WINDOW_MS = 8_000
+  const UNITS = 2_000
+
+  /** What one organisation that asks for far more gets in a window in which the scheduler changes every so often. */
+  function usedWith (changeMs: number, isTold: boolean): number {
+    let scheduler = new Scheduler({ ...WIDE, tolerance: TOLERANCE }, true)
+    let used = 0
+    let heard: { level: number, at: number } | undefined
+    const begin = (now: number): void => {
+      scheduler.setServers([server('a', { slots: 1_000 })])
+      scheduler.setOrganisations([{ ...organisation('o'), ratePerS: RATE, burst: RATE }], now)
+      const level = heard === undefined ? [] : [{ organisation: 'o', level: heard.level, ageMs: now - heard.at }]
+      if (isTold) scheduler.tellLevels(level, now)
+    }
+    begin(0)
+    for (let now = 0; now < WINDOW_MS; now += 5) {
+      if (now > 0 && now % changeMs === 0) {
+        scheduler = new Scheduler({ ...WIDE, tolerance: TOLERANCE })
+        begin(now)
+      }
+      const asked = job(`${now}`, { organisation: 'o', units: UNITS, rank: 0, arrivedAt: now })
+      for (const effect of scheduler.ask(asked, now)) {
+        if (effect.kind !== 'grant') continue
+        used += UNITS
+        if (effect.level !== undefined) heard = { level: effect.level, at: now }
+        scheduler.ended(effect.job, 'a', Outcome.done, undefined, now)
+      }
+    }
+    return used
+  }
+
+  const MOST = (RATE * WINDOW_MS / 1_000 + RATE) * (1 + TOLERANCE.part) + TOLERANCE.units
+
+  // Load: an organisation sends many times its usual while hosts are stopped in turn.
+  it('hold however often the scheduler changes, as hosts tell the next one what is left', () => {
+    for (const changeMs of [100, 500, 1_000, 2_000]) expect(usedWith(changeMs, true) <= MOST).toEqual(true)
+  })
+
+  it('would not hold if each scheduler began anew', () => {
+    expect(usedWith(1_000, false) > MOST).toEqual(true)
+  })
+
+  it('do not refuse what an organisation has left', () => {
+    const scheduler = schedulerOf(server('a', { slots: 9 }))
+    scheduler.setOrganisations([{ ...organisation('o'), ratePerS: 10, burst: 10 }], 0)
+    scheduler.tellLevels([{ organisation: 'o', level: 0.9, ageMs: 5 }], 0)
+    const asked = Array.from({ length: 8 }, (_, i) => scheduler.ask(job(`${i}`, { organisation: 'o', rank: 0 }), 0))
+    expect(granted(asked.flat()).length).toEqual(8)
+  })
+
+  it('go by the newest news, less what was given since', () => {
+    const scheduler = schedulerOf(server('a', { slots: 9 }))
+    scheduler.setOrganisations([{ ...organisation('o'), ratePerS: 0.001, burst: 10 }], 0)
+    scheduler.tellLevels([{ organisation: 'o', level: 1, ageMs: 400 }], 0)
+    expect(granted(scheduler.ask(job('1', { organisation: 'o', units: 4, rank: 0 }), 0)).length).toEqual(1)
+    scheduler.tellLevels([{ organisation: 'o', level: 0.5, ageMs: 10 }], 1)
+    scheduler.tellLevels([{ organisation: 'o', level: 0.9, ageMs: 300 }], 1)
+    expect(refused(scheduler.ask(job('2', { organisation: 'o', units: 2, rank: 0 }), 1))).toEqual(['2'])
+    expect(granted(scheduler.ask(job('3', { organisation: 'o', units: 1, rank: 0 }), 1))).toEqual(['3'])
+  })
+})
+
 describe('repeats', () => {
   it('stay under their budget', () => {
     const scheduler = new Scheduler({ ...WIDE, repeats: { ratio: 0.2, windowMs: 10_000, slack: 10 } })
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -5,7 +5,7 @@
 import { Outcome, Scheduler } from '../src/schedule/index.js'
 import { Replica, type Row } from '../src/store/index.js'
 import { job, server } from './jobs.js'
-import { WIDE } from './rig.js'
+import { organisation, WIDE } from './rig.js'
 
 const clock = new SteadyClock()
 
@@ -119,6 +119,25 @@
     expect([third!.chosen, fourth!.chosen]).toEqual([[second!.name], [second!.name]])
   })
 
+  it('know what the scheduler learned and had left when they follow it', async () => {
+    const [first, second] = await start(2)
+    for (const host of hosts) {
+      host.scheduler.setOrganisations([{ ...organisation('o'), ratePerS: 0.001, burst: 20 }], clock.now())
+    }
+    const { ticket, placements } = ask(second!, { organisation: 'o', units: 3, rank: 0, promptTokens: 0 })
+    await until(() => placements.length === 1)
+    ticket.ended(Outcome.done, 77)
+    await until(() => first!.scheduler.loads.paces.length === 1)
+    first!.hub.tellPaces()
+    await until(() => second!.scheduler.loads.paces.length === 1)
+    expect(second!.scheduler.loads.paces[0]!.stepMs).toEqual(77)
+    first!.close()
+    await until(() => second!.choice.current === second!.name)
+    const more = [3, 3].map(units => ask(second!, { organisation: 'o', units, rank: 0, promptTokens: 0 }))
+    await until(() => more.every(each => each.placements.length === 1))
+    expect(more.map(each => each.placements[0]!.kind)).toEqual(['granted', 'refused'])
+  })
+
   it('ask one that leaves until the next one is linked', async () => {
     const [first, second, third] = await start(3)
     const members = [second!, third!].map(host => ({ host: host.name, address: host.address }))
--- a/test/schedule.fuzz.test.ts
+++ b/test/schedule.fuzz.test.ts
@@ -88,7 +88,7 @@
   const asked = [...model.waiting.values()][pick % Math.max(1, model.waiting.size)]
   if (asked === undefined) return
   model.waiting.delete(asked.id)
-  model.scheduler.withdraw(asked.id, asked.service)
+  model.scheduler.withdraw(asked.id, asked.service, model.now)
 })
 
 const pass = fc.integer({ min: 1, max: 700 }).map((ms): Step => model => {
