--- a/src/forward/channels.ts
+++ b/src/forward/channels.ts
@@ -3,6 +3,7 @@
 /** The connections of this host to backend servers, by address. */
 export class Channels {
   private readonly idle = new Map<string, Channel[]>()
+  private bounds: ReadonlyMap<string, number> = new Map()
 
   /**
    * Takes a connection; the one that was used last, so that others run into their idle time-out.
@@ -26,30 +27,30 @@
    * @param channel - the connection
    */
   giveBack (address: string, channel: Channel): void {
-    if (!channel.isUsable) {
+    const kept = this.idle.get(address)
+    if (!channel.isUsable || (kept?.length ?? 0) >= (this.bounds.get(address) ?? 0)) {
       channel.close()
       return
     }
-    const kept = this.idle.get(address)
     if (kept === undefined) this.idle.set(address, [channel])
     else kept.push(channel)
   }
 
   /**
-   * Closes idle connections to addresses that are not used any more.
+   * Sets how many idle connections are kept, and closes those beyond.
    *
-   * @param isUsed - whether an address belongs to a known server
+   * @param bounds - how many to each address; none to one that is not named
    */
-  retain (isUsed: (address: string) => boolean): void {
+  keep (bounds: ReadonlyMap<string, number>): void {
+    this.bounds = bounds
     for (const [address, kept] of this.idle) {
-      if (isUsed(address)) continue
-      kept.forEach(channel => channel.close())
-      this.idle.delete(address)
+      for (const channel of kept.splice(bounds.get(address) ?? 0)) channel.close()
+      if (kept.length === 0) this.idle.delete(address)
     }
   }
 
   /** Closes all idle connections. */
   close (): void {
-    this.retain(() => false)
+    this.keep(new Map())
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import { Scheduler } from '../schedule/index.js'
 import { Absence } from './absence.js'
 import { Directory } from './directory.js'
+import { idleBounds } from './idlebounds.js'
 import { Mover } from './mover.js'
 import type { Platform } from './platform.js'
 import { Readiness } from './readiness.js'
@@ -184,7 +185,10 @@
   /** Removed servers can pass out of use by time alone, and hosts that are linked come and go. */
   private refresh (now: number): void {
     this.refreshedAt = now
-    this.hub.scheduler.setServers(this.directory.fleet.all(now))
+    const { fleet, membership, deployment } = this.directory
+    const servers = fleet.all(now)
+    this.hub.scheduler.setServers(servers)
+    this.channels.keep(idleBounds(servers, deployment, membership.list().length))
     this.hostsChanged()
     if (this.isInCharge) this.absence.look(this.directory.membership, this.linkedHosts, now)
     else this.absence.forget()
@@ -208,10 +212,7 @@
   }
 
   private serversChanged (): void {
-    const now = this.clock.now()
-    const addresses = new Set(this.directory.fleet.all(now).map(server => server.address))
-    this.channels.retain(address => addresses.has(address))
-    this.refresh(now)
+    this.refresh(this.clock.now())
     this.hub.tick()
     this.announce()
   }
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -28,6 +28,8 @@
   exposure: { part: 0.1, slack: 50 }
 }
 
+const KEPT_CHANNELS = 8
+
 /** @returns a route with what is stated, the rest being usual */
 export function route (stated: Partial<Route> = {}): Route {
   return {
@@ -159,6 +161,7 @@
     const dispatcher = new Dispatcher(this.clock)
     dispatcher.use(hub.connect('h', reply => dispatcher.take(reply)))
     const channels = new Channels()
+    channels.keep(new Map(this.servers.map(({ address }) => [address, KEPT_CHANNELS])))
     this.scheduler.setOrganisations(current.organisations, this.clock.now())
     const ingress = new Ingress({
       names: NAMES,
