Take heartbeats of servers for what they are: no refresh, no announcement, fewer calls

Every row of a server, also one that only says that it lives on, made each host set all servers anew and ping the scheduler, which answered all hosts: some 70 rows a second at 78 hosts. Now only what changes where work may go does that, once for many rows, and after mere heartbeats the next call waits for 800 ms.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,4 +1,4 @@
-import { type BackendServer, sameIncarnation } from './server.js'
+import { type BackendServer, sameIncarnation, sameStatement } from './server.js'
 
 /** One change of the list of servers: an entry that was written, or one that was removed. */
 export interface FleetChange {
@@ -42,7 +42,7 @@
    *
    * @param change - an entry as it was written or removed
    * @param now - steady time, in milliseconds
-   * @returns whether anything changed
+   * @returns whether it says anything but that the server lives on
    */
   apply (change: FleetChange, now: number): boolean {
     const known = this.entries.get(change.id)
@@ -54,7 +54,7 @@
       removedAt: change.server === undefined ? now : undefined
     })
     this.forget(now)
-    return true
+    return known?.removedAt !== undefined || !isHeartbeat(known?.server, change.server)
   }
 
   private forget (now: number): void {
@@ -94,3 +94,7 @@
     return known !== undefined && sameIncarnation(known, server)
   }
 }
+
+function isHeartbeat (before: BackendServer | undefined, after: BackendServer | undefined): boolean {
+  return before !== undefined && after !== undefined && sameStatement(before, after)
+}
--- a/src/fleet/server.ts
+++ b/src/fleet/server.ts
@@ -16,6 +16,18 @@
   readonly coldMs: number
 }
 
+/**
+ * Compares two statements of servers but for what changes with each heartbeat.
+ *
+ * @param a - a statement
+ * @param b - another statement
+ * @returns whether they say the same
+ */
+export function sameStatement (a: BackendServer, b: BackendServer): boolean {
+  return sameIncarnation(a, b) && a.service === b.service && a.dataCentre === b.dataCentre &&
+    a.version === b.version && a.slots === b.slots && a.isDraining === b.isDraining
+}
+
 /**
  * @param a - a statement
  * @param b - another statement
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -60,7 +60,10 @@
       new Replica(tables.servers, row => this.serverRow(row)),
       new Replica(tables.members, row => this.memberRow(row))
     ]
-    this.reports = new Replica(tables.reports, row => this.watcher.reportChanged(row))
+    this.reports = new Replica(tables.reports, row => {
+      this.watcher.reportChanged(row)
+      return true
+    })
     this.gossip = new Gossip([...this.replicas, this.reports], clock, () => this.lagged())
   }
 
@@ -112,29 +115,32 @@
     if (replica.table === this.platform.tables.servers) this.fleet.storeReturned(this.clock.now())
   }
 
-  private operatorRow (row: Row): void {
+  private operatorRow (row: Row): boolean {
     const deployment = this.platform.readDeployment(row)
     if (deployment === undefined) {
       if (this.watcher.operatorOrdered(row)) this.followReports()
-      return
+      return true
     }
-    if (deployment.revision <= (this.known?.revision ?? -1)) return
+    if (deployment.revision <= (this.known?.revision ?? -1)) return true
     this.known = deployment
     this.log.info({ event: 'deployment', revision: deployment.revision }, 'deployment')
     this.watcher.deploymentChanged(deployment)
+    return true
   }
 
-  private serverRow (row: Row): void {
+  private serverRow (row: Row): boolean {
     const server = this.platform.readServer(row)
     this.hadServers ||= server !== undefined
-    if (!this.fleet.apply({ id: row.key, revision: row.revision, server }, this.clock.now())) return
+    if (!this.fleet.apply({ id: row.key, revision: row.revision, server }, this.clock.now())) return false
     const { isDraining } = server ?? {}
     this.log.info({ event: 'server', server: row.key, isDraining, isGone: server === undefined }, 'server')
     this.watcher.serversChanged()
+    return true
   }
 
-  private memberRow (row: Row): void {
+  private memberRow (row: Row): boolean {
     this.membership.apply(row)
     this.watcher.membersChanged()
+    return true
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -44,6 +44,7 @@
   private isTaking = true
   private refreshedAt = 0
   private toldAt = 0
+  private isRefreshDue = false
   private readonly absence = new Absence()
 
   /**
@@ -211,15 +212,21 @@
     this.announce()
   }
 
+  /** Rows come many at a time; what follows from them is done once for all. */
   private serversChanged (): void {
-    this.refresh(this.clock.now())
-    this.hub.tick()
-    this.announce()
+    if (this.isRefreshDue) return
+    this.isRefreshDue = true
+    queueMicrotask(() => {
+      this.isRefreshDue = false
+      this.refresh(this.clock.now())
+      this.hub.tick()
+      this.announce()
+    })
   }
 
   private membersChanged (): void {
     this.choice.setMembers(this.directory.membership.list())
-    this.refresh(this.clock.now())
+    this.serversChanged()
   }
 
   /** Tells linked hosts at once what this one knows, so that those that lag find out. */
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -10,6 +10,9 @@
 /** Pause after changes, in milliseconds: bounds the calls that a storm of changes costs. */
 const CHANGES_PAUSE_MS = 200
 
+/** Pause after mere heartbeats, in milliseconds: well under the seconds in which a server that leaves must be known. */
+const HEARTBEATS_PAUSE_MS = 800
+
 /** First and longest pause after a failed call, in milliseconds: the longest is a part of the bounds on changes. */
 const FIRST_RETRY_MS = 100
 const LONGEST_RETRY_MS = 800
@@ -69,36 +72,40 @@
       if (changed === undefined) {
         const pause = Math.min(FIRST_RETRY_MS * 2 ** (this.failures - 1), LONGEST_RETRY_MS)
         await this.clock.sleep(pause)
-      } else if (changed) {
-        await this.clock.sleep(CHANGES_PAUSE_MS)
+      } else {
+        await this.clock.sleep(changed)
       }
     }
   }
 
-  /** @returns whether anything came, or undefined after a failure */
-  private async readAll (): Promise<boolean | undefined> {
+  /** @returns the pause until the next call, in milliseconds; undefined after a failure */
+  private async readAll (): Promise<number | undefined> {
     const listed = await this.store.list(this.replica.table)
-    if (!this.isRunning) return false
+    if (!this.isRunning) return 0
     if (listed.isErr()) return this.failed(listed.error)
     this.succeeded(listed.value.storeMs)
     this.after = listed.value.revision
     this.replica.replace(listed.value.rows, listed.value.revision, this.clock.now())
-    return false
+    return 0
   }
 
-  private async readOn (after: number): Promise<boolean | undefined> {
+  /** @returns the pause until the next call, in milliseconds; undefined after a failure */
+  private async readOn (after: number): Promise<number | undefined> {
     const calling = this.calling = new AbortController()
     const changes = await this.store.changes(this.replica.table, after, WAIT_MS, calling.signal)
-    if (!this.isRunning || calling.signal.aborted) return false
+    if (!this.isRunning || calling.signal.aborted) return 0
     if (changes.isErr()) {
       if (changes.error.code !== 'forgotten') return this.failed(changes.error)
       this.after = undefined
-      return true
+      return CHANGES_PAUSE_MS
     }
     this.succeeded(changes.value.storeMs)
     this.after = Math.max(after, changes.value.revision)
-    for (const row of changes.value.rows) this.replica.apply(row, this.clock.now())
-    return changes.value.rows.length > 0
+    const { rows } = changes.value
+    if (rows.length === 0) return 0
+    const now = this.clock.now()
+    const mattering = rows.filter(row => this.replica.apply(row, now))
+    return mattering.length > 0 ? CHANGES_PAUSE_MS : HEARTBEATS_PAUSE_MS
   }
 
   private failed (failure: StoreFailure): undefined {
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -15,9 +15,9 @@
 
   /**
    * @param table - the table's name
-   * @param onRow - told each row that is newer than what was known
+   * @param onRow - told each row that is newer than what was known; says whether it matters, or is a mere heartbeat
    */
-  constructor (readonly table: string, private readonly onRow: (row: Row) => void) {}
+  constructor (readonly table: string, private readonly onRow: (row: Row) => boolean) {}
 
   /** The newest revision of a row that is known. */
   get newest (): number {
@@ -29,14 +29,15 @@
    *
    * @param row - from the store or another host
    * @param now - steady time, in milliseconds
+   * @returns whether it is newer and matters
    */
-  apply (row: Row, now: number): void {
+  apply (row: Row, now: number): boolean {
     const known = this.kept.get(row.key)
-    if (known !== undefined && known.row.revision >= row.revision) return
+    if (known !== undefined && known.row.revision >= row.revision) return false
     this.kept.set(row.key, { row, at: now })
     this.newestRevision = Math.max(this.newestRevision, row.revision)
     this.forget(now)
-    this.onRow(row)
+    return this.onRow(row)
   }
 
   /**
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -32,7 +32,11 @@
     standin = await RowsStandin.start()
     store = new RowStore(standin.address)
     standin.put('servers', 'a', { at: 1 })
-    const replica = new Replica('servers', row => seen.set(row.key, row))
+    const replica = new Replica('servers', row => {
+      const before = seen.get(row.key)
+      seen.set(row.key, row)
+      return before?.value?.toString() !== row.value?.toString()
+    })
     const watcher = { returned: () => { returns++ }, told: () => undefined }
     follower = new Follower(store, replica, watcher, new SteadyClock(), log)
     // The outages below are to meet a call that waits, not one that is still on its way.
@@ -52,6 +56,19 @@
     await until(() => seen.get('b')?.value === undefined)
   })
 
+  // Load: every server of a large fleet writes its row each second or so.
+  it('calls seldom for rows that only say that a server lives on', async () => {
+    const before = standin.calls.get('/marigoldvalve/rows-feed') ?? 0
+    const timer = setInterval(() => standin.put('servers', 'a', { at: 1 }), 20)
+    await new Promise(resolve => setTimeout(resolve, 1_500))
+    clearInterval(timer)
+    expect((standin.calls.get('/marigoldvalve/rows-feed') ?? 0) - before <= 3).toEqual(true)
+    const leftAt = performance.now()
+    standin.put('servers', 'a', undefined)
+    await until(() => seen.get('a')?.value === undefined)
+    expect(performance.now() - leftAt < 1_000).toEqual(true)
+  })
+
   it('tells what was removed while the history was lost', async () => {
     standin.fault = StoreFault.busy
     standin.cutWaiting()
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -13,7 +13,7 @@
 class TestHost {
   readonly scheduler = new Scheduler(WIDE)
   readonly rows = new Map<string, Row>()
-  readonly replica = new Replica('rows', row => this.rows.set(row.key, row))
+  readonly replica = new Replica('rows', row => this.rows.set(row.key, row).has(row.key))
   /** The schedulers that were chosen, in order. */
   readonly chosen: string[] = []
   lags = 0
