Ask the store again soon at the start, so that hosts serve soon after an outage that met it

The first reading of a table, and the write of a host's row, now wait 400 ms, then twice as long each time. test/adapter.test.ts "reads soon after the store is back" failed before.

--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -7,6 +7,13 @@
 /** Pause before a write that failed is tried again, in milliseconds. */
 const RETRY_MS = 300
 
+/**
+ * First and longest time that the answer to a write may take, in milliseconds: at first some times an answer of a slow
+ * store, since hosts that started without it do not know each other.
+ */
+const FIRST_ANSWER_MS = 400
+const LONGEST_ANSWER_MS = 2_500
+
 const schema = z.object({ address: z.string() })
 
 /** This host's row among the members, and the rows of the others. */
@@ -76,8 +83,8 @@
   }
 
   private async write (value: Buffer | undefined, goesOn: () => boolean): Promise<void> {
-    for (;;) {
-      const written = await this.store.write([{ table: this.table, key: this.self.host, value }])
+    for (let answerMs = FIRST_ANSWER_MS; ; answerMs = Math.min(2 * answerMs, LONGEST_ANSWER_MS)) {
+      const written = await this.store.write([{ table: this.table, key: this.self.host, value }], answerMs)
       if (written.isOk()) return
       this.log.warn({ event: 'member-write-failed', reason: written.error.message }, 'member-write-failed')
       if (!goesOn()) return
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -13,6 +13,13 @@
 /** Pause after mere heartbeats, in milliseconds: well under the seconds in which a server that leaves must be known. */
 const HEARTBEATS_PAUSE_MS = 800
 
+/**
+ * First and longest time that a reading of the whole table may take, in milliseconds: at first some times an answer of
+ * a slow store, since a host that just started can serve nobody before it.
+ */
+const FIRST_LIST_MS = 400
+const LONGEST_LIST_MS = 2_500
+
 /** First and longest pause after a failed call, in milliseconds: the longest is a part of the bounds on changes. */
 const FIRST_RETRY_MS = 100
 const LONGEST_RETRY_MS = 800
@@ -80,7 +87,8 @@
 
   /** @returns the pause until the next call, in milliseconds; undefined after a failure */
   private async readAll (): Promise<number | undefined> {
-    const listed = await this.store.list(this.replica.table)
+    const answerMs = Math.min(FIRST_LIST_MS * 2 ** this.failures, LONGEST_LIST_MS)
+    const listed = await this.store.list(this.replica.table, answerMs)
     if (!this.isRunning) return 0
     if (listed.isErr()) return this.failed(listed.error)
     this.succeeded(listed.value.storeMs)
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -8,9 +8,10 @@
    * Reads a whole table as of one moment.
    *
    * @param table - its name
+   * @param answerMs - how long an answer may take, in milliseconds
    * @returns the rows in the order of their keys
    */
-  list (table: string): Promise<Result<Rows, StoreFailure>>
+  list (table: string, answerMs: number): Promise<Result<Rows, StoreFailure>>
 
   /**
    * Waits for changes of a table.
@@ -27,7 +28,8 @@
    * Writes rows, all or none.
    *
    * @param writes - the changes, in one transaction
+   * @param answerMs - how long the answer may take, in milliseconds; a long time if left out
    * @returns the new revision; on a conflict the failure
    */
-  write (writes: readonly RowWrite[]): Promise<Result<number, StoreFailure>>
+  write (writes: readonly RowWrite[], answerMs?: number): Promise<Result<number, StoreFailure>>
 }
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -57,6 +57,21 @@
   })
 
   // Load: every server of a large fleet writes its row each second or so.
+  // Load: all hosts lost power while the store is away; who starts anew can serve nobody until it has read the tables.
+  it('reads soon after the store is back, though the first calls found it silent', async () => {
+    standin.fault = StoreFault.silent
+    const rows: Row[] = []
+    const late = new Follower(store, new Replica('servers', row => rows.push(row) > 0), {
+      returned: () => undefined, told: () => undefined
+    }, new SteadyClock(), log)
+    await new Promise(resolve => setTimeout(resolve, 300))
+    standin.fault = undefined
+    const backAt = performance.now()
+    await until(() => rows.length === 1)
+    late.close()
+    expect(performance.now() - backAt < 1_200).toEqual(true)
+  })
+
   it('calls seldom for rows that only say that a server lives on', async () => {
     const before = standin.calls.get('/marigoldvalve/rows-feed') ?? 0
     const timer = setInterval(() => standin.put('servers', 'a', { at: 1 }), 20)
