--- a/src/dispatch/choice.ts
+++ b/src/dispatch/choice.ts
@@ -34,7 +34,10 @@
  */
 const CHANGE_MS = 120
 
-/** Chooses the scheduler that this host asks: the first member in the ranking that it reaches. */
+/**
+ * Chooses the scheduler that this host asks: the first member in the ranking that it reaches. Members with more
+ * processor cores rank first, since the one that schedules does work for all.
+ */
 export class Choice {
   private ranked: Member[] = []
   private link: Link | undefined
@@ -74,6 +77,7 @@
   setMembers (members: readonly Member[]): void {
     const byHost = new Map(members.map(member => [member.host, member]))
     this.ranked = new Ranking(byHost.keys()).top(RANKING_KEY, byHost.size).map(host => byHost.get(host)!)
+      .sort((a, b) => b.cores - a.cores)
     const current = this.linkedTo === undefined ? undefined : byHost.get(this.linkedTo.host)
     // A member that leaves answers until another one is linked.
     if (this.link !== undefined && current !== undefined && current.address !== this.linkedTo?.address) {
--- a/src/dispatch/member.ts
+++ b/src/dispatch/member.ts
@@ -3,4 +3,6 @@
   readonly host: string
   /** IP number and port at which other hosts link to it. */
   readonly address: string
+  /** How many processor cores it may use; whoever has most schedules for all. */
+  readonly cores: number
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -59,8 +59,8 @@
     private readonly clock: Clock,
     private readonly log: Logger
   ) {
-    const { host, links, dataCentre } = settings
-    this.directory = new Directory(platform, { host, address: `${links.ip}:${links.port}` }, {
+    const { host, links, dataCentre, cores } = settings
+    this.directory = new Directory(platform, { host, address: `${links.ip}:${links.port}`, cores }, {
       deploymentChanged: deployment => this.deploymentChanged(deployment),
       serversChanged: () => this.serversChanged(),
       membersChanged: () => this.membersChanged(),
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -14,7 +14,7 @@
 const FIRST_ANSWER_MS = 400
 const LONGEST_ANSWER_MS = 2_500
 
-const schema = z.object({ address: z.string() })
+const schema = z.object({ address: z.string(), cores: z.number().positive().default(1) })
 
 /** This host's row among the members, and the rows of the others. */
 export class Membership {
@@ -58,7 +58,7 @@
 
   /** Writes this host's row, until it is written. */
   async join (): Promise<void> {
-    const value = Buffer.from(JSON.stringify({ address: this.self.address }))
+    const value = Buffer.from(JSON.stringify({ address: this.self.address, cores: this.self.cores }))
     await this.write(value, () => !this.isLeaving)
   }
 
@@ -97,8 +97,8 @@
 function readMember (row: Row): Member | undefined {
   if (row.value === undefined) return undefined
   try {
-    const { address } = schema.parse(JSON.parse(row.value.toString('utf8')))
-    return { host: row.key, address }
+    const { address, cores } = schema.parse(JSON.parse(row.value.toString('utf8')))
+    return { host: row.key, address, cores }
   } catch {
     // A row of another writer names no member.
     return undefined
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -11,6 +11,8 @@
   /** Name of this host; unique in the deployment. */
   readonly host: string
   readonly dataCentre: string
+  /** How many processor cores this host may use. */
+  readonly cores: number
   /** Where callers connect. */
   readonly callers: Endpoint
   /** Where the balancer asks whether this host takes new connections. */
--- a/test/absence.test.ts
+++ b/test/absence.test.ts
@@ -3,7 +3,7 @@
 import { Absence } from '../src/gateway/index.js'
 
 describe('members that are gone', () => {
-  const members = ['a', 'b', 'c'].map(host => ({ host, address: '' }))
+  const members = ['a', 'b', 'c'].map(host => ({ host, address: '', cores: 1 }))
 
   function lookAt (times: ReadonlyArray<readonly [number, string[]]>): string[] {
     const removed: string[] = []
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -22,6 +22,7 @@
   readonly dispatcher = new Dispatcher(clock)
   readonly choice: Choice
   address = ''
+  cores = 1
   private readonly listener = new DispatchListener(this.hub)
   private readonly timer: NodeJS.Timeout
 
@@ -34,7 +35,7 @@
 
   async listen (): Promise<Member> {
     this.address = `127.0.0.1:${await this.listener.listen('127.0.0.1', 0)}`
-    return { host: this.name, address: this.address }
+    return { host: this.name, address: this.address, cores: this.cores }
   }
 
   /** Stops everything but the sockets' own answers, as a frozen host does. */
@@ -138,9 +139,22 @@
     expect(more.map(each => each.placements[0]!.kind)).toEqual(['granted', 'refused'])
   })
 
+  // Load: hosts of unlike size; the smallest would be busy with the asks of all others.
+  it('ask the one with most processor cores, and the next of them when it is gone', async () => {
+    await start(4)
+    const last = hosts[3]!
+    last.cores = 1.35
+    hosts[2]!.cores = 1.1
+    const members = hosts.map(({ name, address, cores }) => ({ host: name, address, cores }))
+    for (const host of hosts) host.choice.setMembers(members)
+    await until(() => hosts.every(host => host.choice.current === last.name))
+    last.close()
+    await until(() => hosts.slice(0, 3).every(host => host.choice.current === hosts[2]!.name))
+  })
+
   it('ask one that leaves until the next one is linked', async () => {
     const [first, second, third] = await start(3)
-    const members = [second!, third!].map(host => ({ host: host.name, address: host.address }))
+    const members = [second!, third!].map(host => ({ host: host.name, address: host.address, cores: 1 }))
     for (const host of hosts) host.chosen.length = 0
     for (const host of hosts) host.choice.setMembers(members)
     expect(third!.choice.current).toEqual(first!.name)
