--- a/src/dispatch/gossip.ts
+++ b/src/dispatch/gossip.ts
@@ -22,12 +22,12 @@
   /**
    * @param replicas - the followed tables, in an order that all hosts share
    * @param clock - steady time
-   * @param onLag - told that this host lags behind another, so that the store is asked anew
+   * @param onLag - told in which tables this host lags behind another, so that the store is asked anew
    */
   constructor (
     private readonly replicas: readonly Replica[],
     private readonly clock: Clock,
-    private readonly onLag: () => void
+    private readonly onLag: (tables: readonly string[]) => void
   ) {}
 
   /** @returns what this host knows */
@@ -80,11 +80,15 @@
     else if (this.clock.now() - ahead.since >= BORNE_LAG_MS) {
       this.ahead = undefined
       ahead.ask(create(BehindSchema, { standing: this.standing() }))
-      this.onLag()
+      this.onLag(this.lacking(ahead.standing).map(replica => replica.table))
     }
   }
 
   private lacks (standing: Standing): boolean {
-    return this.replicas.some((replica, at) => (standing.revisions[at] ?? 0) > replica.newest)
+    return this.lacking(standing).length > 0
+  }
+
+  private lacking (standing: Standing): Replica[] {
+    return this.replicas.filter((replica, at) => (standing.revisions[at] ?? 0) > replica.newest)
   }
 }
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -3,10 +3,13 @@
 import { Gossip, type Member } from '../dispatch/index.js'
 import { Fleet } from '../fleet/index.js'
 import type { Deployment } from '../routing/index.js'
-import { Follower, Replica, type Row } from '../store/index.js'
+import { CHANGES_PAUSE_MS, Follower, Replica, type Row } from '../store/index.js'
 import { Membership } from './membership.js'
 import type { Platform } from './platform.js'
 
+/** Pause after changes of members, in milliseconds: all hosts hear each start and stop, and links tell sooner. */
+const MEMBERS_PAUSE_MS = 1_000
+
 /** Is told when what a directory knows has changed. */
 export interface DirectoryWatcher {
   deploymentChanged (deployment: Deployment): void
@@ -33,7 +36,7 @@
   readonly gossip: Gossip
   private readonly replicas: readonly Replica[]
   private readonly reports: Replica
-  private followers: Follower[] = []
+  private readonly followers = new Map<string, Follower>()
   private isFollowing = false
   private followsReports = false
   private known: Deployment | undefined
@@ -64,7 +67,7 @@
       this.watcher.reportChanged(row)
       return true
     })
-    this.gossip = new Gossip([...this.replicas, this.reports], clock, () => this.lagged())
+    this.gossip = new Gossip([...this.replicas, this.reports], clock, tables => this.lagged(tables))
   }
 
   /** The newest deployment, or undefined if none is known yet. */
@@ -88,20 +91,21 @@
   /** Stops following the store. */
   close (): void {
     this.isFollowing = false
-    for (const follower of this.followers) follower.close()
+    for (const follower of this.followers.values()) follower.close()
   }
 
   /** Another host knows what the store did not tell this one: the connections to it may be silent. */
-  private lagged (): void {
-    this.log.warn({ event: 'lagging' }, 'lagging')
-    for (const follower of this.followers) follower.restart()
+  private lagged (tables: readonly string[]): void {
+    this.log.warn({ event: 'lagging', tables }, 'lagging')
+    for (const table of tables) this.followers.get(table)?.restart()
   }
 
   private follow (replica: Replica): void {
-    this.followers.push(new Follower(this.platform.store, replica, {
+    const pauseMs = replica.table === this.platform.tables.members ? MEMBERS_PAUSE_MS : CHANGES_PAUSE_MS
+    this.followers.set(replica.table, new Follower(this.platform.store, replica, {
       returned: () => this.storeReturned(replica),
       told: storeMs => this.watcher.storeTold(storeMs)
-    }, this.clock, this.log))
+    }, this.clock, this.log, pauseMs))
   }
 
   /** Reports are followed from the first order on, since each call to the store has its price. */
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -8,10 +8,10 @@
 const WAIT_MS = 25_000
 
 /** Pause after changes, in milliseconds: bounds the calls that a storm of changes costs. */
-const CHANGES_PAUSE_MS = 200
+export const CHANGES_PAUSE_MS = 200
 
-/** Pause after mere heartbeats, in milliseconds: well under the seconds in which a server that leaves must be known. */
-const HEARTBEATS_PAUSE_MS = 800
+/** Pause after mere heartbeats, in milliseconds: under the two seconds in which a server that leaves must be known. */
+const HEARTBEATS_PAUSE_MS = 1_200
 
 /**
  * First and longest time that a reading of the whole table may take, in milliseconds: at first some times an answer of
@@ -46,13 +46,15 @@
    * @param watcher - is told of the store
    * @param clock - waits; steady
    * @param log - told when the store is lost and regained
+   * @param changesPauseMs - pause after changes, in milliseconds
    */
   constructor (
     private readonly store: Store,
     private readonly replica: Replica,
     private readonly watcher: StoreWatcher,
     private readonly clock: Clock,
-    private readonly log: Logger
+    private readonly log: Logger,
+    private readonly changesPauseMs = CHANGES_PAUSE_MS
   ) {
     void this.run()
   }
@@ -105,7 +107,7 @@
     if (changes.isErr()) {
       if (changes.error.code !== 'forgotten') return this.failed(changes.error)
       this.after = undefined
-      return CHANGES_PAUSE_MS
+      return this.changesPauseMs
     }
     this.succeeded(changes.value.storeMs)
     this.after = Math.max(after, changes.value.revision)
@@ -113,7 +115,7 @@
     if (rows.length === 0) return 0
     const now = this.clock.now()
     const mattering = rows.filter(row => this.replica.apply(row, now))
-    return mattering.length > 0 ? CHANGES_PAUSE_MS : HEARTBEATS_PAUSE_MS
+    return mattering.length > 0 ? this.changesPauseMs : HEARTBEATS_PAUSE_MS
   }
 
   private failed (failure: StoreFailure): undefined {
