--- a/test/move.test.ts
+++ b/test/move.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import * as fc from 'fast-check'
-import { Move, type MoveOrder, MoveStage } from '../src/move/index.js'
+import { Move, type MoveOrder, MoveStage, Side } from '../src/move/index.js'
 import { Outcome, type Scheduler } from '../src/schedule/index.js'
 import { granted, job, schedulerOf, server } from './jobs.js'
 import { runs } from './runs.js'
@@ -152,6 +152,42 @@
     }), runs(60))
   })
 
+  // Load: long answers that the old servers could not end before they are stopped all want to go to the version.
+  it('keeps the bound at the change-over too, with and without slack', () => {
+    for (const bounds of [BOUNDS, { part: 0.1, slack: 0 }]) {
+      const move = new Move({ ...ORDER, durationMs: 10_000 }, bounds, 10_000)
+      let requests = 0
+      let exposed = 0
+      for (let now = 0; now < 10_000; now += 10) {
+        move.tick(now)
+        const [side] = move.sides('r', now + 3_000, now)
+        move.granted('r', side!)
+        requests++
+        if (side === Side.fresh) exposed++
+        const seen = { route: 'r', server: side!, isFresh: side === Side.fresh, isFailure: false, isLoss: false }
+        move.saw({ ...seen, stepMs: undefined }, now)
+      }
+      expect(move.stage).toEqual(MoveStage.done)
+      expect(exposed <= bounds.part * requests + bounds.slack).toEqual(true)
+    }
+  })
+
+  it('is taken back for one bad route, though the version is no worse than the others in all', () => {
+    const move = new Move(ORDER, BOUNDS, ORDER.durationMs)
+    const answers = (route: string, isFresh: boolean, count: number, bad: number): void => {
+      for (let i = 0; i < count; i++) {
+        const seen = { route, server: isFresh ? 'x' : 'a', isFresh, isFailure: i < bad, isLoss: false }
+        move.saw({ ...seen, stepMs: undefined }, 0)
+      }
+    }
+    answers('often fails', false, 200, 120)
+    answers('never fails', false, 200, 0)
+    answers('often fails', true, 20, 12)
+    expect(move.stage).toEqual(MoveStage.running)
+    answers('never fails', true, 10, 6)
+    expect(move.stage).toEqual(MoveStage.takenBack)
+  })
+
   it('takes one crash of a server for one failure, however many requests it ends', () => {
     const move = new Move(ORDER, BOUNDS, ORDER.durationMs)
     const seen = { route: 'r', stepMs: undefined, isFailure: false, isLoss: false }
