--- a/test/move.test.ts
+++ b/test/move.test.ts
@@ -176,7 +176,7 @@
     const move = new Move(ORDER, BOUNDS, ORDER.durationMs)
     const answers = (route: string, isFresh: boolean, count: number, bad: number): void => {
       for (let i = 0; i < count; i++) {
-        const seen = { route, server: isFresh ? 'x' : 'a', isFresh, isFailure: i < bad, isLoss: false }
+        const seen = { route, server: isFresh ? 'x' : 'a', isFresh, isFailure: i * bad % count < bad, isLoss: false }
         move.saw({ ...seen, stepMs: undefined }, 0)
       }
     }
