Hold each host to its part of the budget of second sends, whatever schedulers say

A host knows its own requests and second sends for as long as it lives. test/allowance.test.ts "stay under the budget of all hosts" with a new scheduler before each ask.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../base/index.js'
-import type { Job, Outcome, Refusal } from '../schedule/index.js'
+import { HOST_PART, type Job, type Outcome, Refusal, type RepeatBounds, Repeats } from '../schedule/index.js'
 import type { Reply } from './dispatch_pb.js'
 import { askFrame, toPlace } from './frames.js'
 import type { Port } from './port.js'
@@ -13,8 +13,16 @@
   /** What schedulers had left of allowances when they last gave a place. */
   private readonly levels = new Map<string, { readonly level: number, readonly at: number }>()
 
-  /** @param clock - steady time */
-  constructor (private readonly clock: Clock) {}
+  /** Second sends of this host by service: they are bounded here too, since a scheduler that is new knows of none. */
+  private readonly repeats = new Map<string, Repeats>()
+  /** How many hosts share the budget of second sends. */
+  hosts = 1
+
+  /**
+   * @param clock - steady time
+   * @param bounds - what bounds second sends over all hosts
+   */
+  constructor (private readonly clock: Clock, private readonly bounds: RepeatBounds) {}
 
   /**
    * Asks for a place.
@@ -34,6 +42,10 @@
       server: undefined,
       hasStarted: false
     }
+    if (!this.withinBudget(job, state.askedAt)) {
+      take({ kind: 'refused', reason: Refusal.budget, retryAfterMs: 0 })
+      return { started: () => undefined, ended: () => undefined, withdraw: () => undefined }
+    }
     this.tickets.set(state.number, state)
     this.port?.send(askFrame(state.number, { case: 'place', value: toPlace(state.job, state.askedAt) }))
     return {
@@ -130,6 +142,17 @@
     this.port?.send(askFrame(state.number, { case: 'withdraw', value: { service: state.job.service } }))
   }
 
+  private withinBudget (job: Omit<Job, 'id'>, now: number): boolean {
+    let repeats = this.repeats.get(job.service)
+    if (repeats === undefined) {
+      repeats = new Repeats(this.bounds, HOST_PART)
+      this.repeats.set(job.service, repeats)
+    }
+    if (job.isRepeat) return repeats.take(1 / this.hosts, now)
+    if (!job.isCharged) repeats.sawFirst(now)
+    return true
+  }
+
   private heardLevel (organisation: string | undefined, level: number | undefined): void {
     if (organisation === undefined || level === undefined) return
     this.levels.set(organisation, { level, at: this.clock.now() })
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -72,7 +72,7 @@
     const scheduler = new Scheduler(settings.bounds, settings.isFirstStart)
     this.mover = new Mover(platform, scheduler.moves, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.hostsChanged())
-    this.dispatcher = new Dispatcher(clock)
+    this.dispatcher = new Dispatcher(clock, settings.bounds.repeats)
     this.choice = new Choice(host, links.ip, this.hub, this.dispatcher, gossip, clock, (scheduler, reason) => {
       log.info({ event: 'scheduler-chosen', scheduler, reason }, 'scheduler-chosen')
     })
@@ -203,6 +203,7 @@
   /** A scheduler that was just chosen has its full shares as soon as the hosts are linked. */
   private hostsChanged (): void {
     const members = Math.max(1, this.directory.membership.list().length)
+    this.dispatcher.hosts = members
     this.hub.scheduler.setPart(Math.min(1, this.linkedHosts.size / members), this.clock.now())
   }
 
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -2,6 +2,7 @@
 export type { Job } from './job.js'
 export { Outcome } from './outcome.js'
 export { type Effect, Refusal } from './effect.js'
+export { HOST_PART, type RepeatBounds, Repeats } from './repeats.js'
 export type { ScheduleBounds } from './bounds.js'
 export { Scheduler } from './scheduler.js'
 export type { Moves } from './moves.js'
--- a/src/schedule/lane.ts
+++ b/src/schedule/lane.ts
@@ -1,6 +1,6 @@
 import { Line } from './line.js'
 import { Shares } from './shares.js'
-import { type RepeatBounds, Repeats } from './repeats.js'
+import { type RepeatBounds, Repeats, SCHEDULER_PART } from './repeats.js'
 
 /** What the scheduler keeps of one service: who waits, and the second sends. */
 export class Lane {
@@ -10,6 +10,6 @@
 
   /** @param bounds - what bounds repeats */
   constructor (bounds: RepeatBounds) {
-    this.repeats = new Repeats(bounds)
+    this.repeats = new Repeats(bounds, SCHEDULER_PART)
   }
 }
--- a/src/schedule/repeats.ts
+++ b/src/schedule/repeats.ts
@@ -7,16 +7,22 @@
   readonly slack: number
 }
 
-/** Part of the bound that is used, so that a change of scheduler within a window stays under it. */
-const USED_PART = 0.45
+/** Part of the bound that a scheduler uses, so that a change of scheduler within a window stays under it. */
+export const SCHEDULER_PART = 0.45
+
+/** Part of the bound that a host keeps to for its own requests, whatever schedulers say. */
+export const HOST_PART = 0.9
 
 /** Counts the first sends and repeats of one service over a sliding window. */
 export class Repeats {
   private readonly firsts: number[] = []
   private readonly repeats: number[] = []
 
-  /** @param bounds - how many repeats are allowed */
-  constructor (private readonly bounds: RepeatBounds) {}
+  /**
+   * @param bounds - how many repeats are allowed
+   * @param usedPart - part of them that is used, 0 to 1
+   */
+  constructor (private readonly bounds: RepeatBounds, private readonly usedPart: number) {}
 
   /** @param now - when a request came for the first time, steady milliseconds */
   sawFirst (now: number): void {
@@ -33,7 +39,7 @@
    */
   take (share: number, now: number): boolean {
     this.forget(now)
-    const most = USED_PART * (this.bounds.ratio * this.firsts.length + this.bounds.slack * share)
+    const most = this.usedPart * (this.bounds.ratio * this.firsts.length + this.bounds.slack * share)
     if (this.repeats.length + 1 > most) return false
     this.repeats.push(now)
     return true
--- a/test/allowance.test.ts
+++ b/test/allowance.test.ts
@@ -1,8 +1,10 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
 import { Outcome, Refusal, Scheduler } from '../src/schedule/index.js'
+import { Dispatcher } from '../src/dispatch/index.js'
 import { granted, job, refused, schedulerOf, server } from './jobs.js'
 import { organisation, WIDE } from './rig.js'
+import { ManualClock } from './time.js'
 
 describe('allowances', () => {
   it('hold an organisation to its rate over all hosts, and name the time to come back', () => {
@@ -131,6 +133,29 @@
   })
 })
 
+describe('repeats over changes of scheduler', () => {
+  // Load: servers break off answers while hosts are stopped in turn, so that each scheduler knows of no repeat yet.
+  it('stay under the budget of all hosts, since each host keeps to its part', () => {
+    const bounds = { ratio: 0.2, windowMs: 10_000, slack: 54 }
+    const hosts = 7
+    let sent = 0
+    for (let host = 0; host < hosts; host++) {
+      const clock = new ManualClock(0)
+      const dispatcher = new Dispatcher(clock, bounds)
+      dispatcher.hosts = hosts
+      for (let i = 0; i < 100; i++) dispatcher.request(job('', {}), () => undefined)
+      for (let i = 0; i < 100; i++) {
+        // A scheduler that was just chosen grants whatever is asked.
+        dispatcher.use({ send: () => undefined })
+        let isRefused = false
+        dispatcher.request(job('', { isRepeat: true, isCharged: true }), ({ kind }) => { isRefused = kind === 'refused' })
+        if (!isRefused) sent++
+      }
+    }
+    expect(sent > 100 && sent <= bounds.ratio * 100 * hosts + bounds.slack).toEqual(true)
+  })
+})
+
 describe('repeats', () => {
   it('stay under their budget', () => {
     const scheduler = new Scheduler({ ...WIDE, repeats: { ratio: 0.2, windowMs: 10_000, slack: 10 } })
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -20,7 +20,7 @@
   readonly lags: string[] = []
   readonly gossip = new Gossip([this.replica], clock, tables => { this.lags.push(...tables) })
   readonly hub = new Hub(this.scheduler, this.gossip, clock)
-  readonly dispatcher = new Dispatcher(clock)
+  readonly dispatcher = new Dispatcher(clock, WIDE.repeats)
   readonly choice: Choice
   address = ''
   cores = 1
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -158,7 +158,7 @@
 
   async listen (current: Deployment): Promise<void> {
     const hub = new Hub(this.scheduler, new Gossip([], this.clock, () => undefined), this.clock)
-    const dispatcher = new Dispatcher(this.clock)
+    const dispatcher = new Dispatcher(this.clock, WIDE.repeats)
     dispatcher.use(hub.connect('h', reply => dispatcher.take(reply)))
     const channels = new Channels()
     channels.keep(new Map(this.servers.map(({ address }) => [address, KEPT_CHANNELS])))
