--- a/src/dispatch/choice.ts
+++ b/src/dispatch/choice.ts
@@ -162,7 +162,7 @@
     } else if (body.case === 'news') {
       this.gossip.take(body.value)
     } else if (body.case === 'paces') {
-      this.hub.scheduler.loads.tell(body.value.paces)
+      this.hub.scheduler.loads.adoptPaces(body.value.paces)
     } else {
       this.dispatcher.take(reply)
     }
--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -94,7 +94,7 @@
     const { body } = reply
     if (body.case === 'grant') {
       state.server = body.value.server
-      this.heardLevel(state.job.organisation, body.value.level)
+      this.noteLevel(state.job.organisation, body.value.level)
       state.take({ kind: 'granted', server: body.value.server })
     } else if (body.case === 'refused') {
       this.tickets.delete(state.number)
@@ -153,7 +153,7 @@
     return true
   }
 
-  private heardLevel (organisation: string | undefined, level: number | undefined): void {
+  private noteLevel (organisation: string | undefined, level: number | undefined): void {
     if (organisation === undefined || level === undefined) return
     this.levels.set(organisation, { level, at: this.clock.now() })
   }
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -66,7 +66,7 @@
   }
 
   /** Tells the hosts that ask this scheduler what it learned, for the one of them that follows it. */
-  tellPaces (): void {
+  publishPaces (): void {
     const { paces } = this.scheduler.loads
     if (paces.length === 0) return
     for (const host of this.takers.keys()) this.reply(host, 0, { case: 'paces', value: { paces } })
@@ -105,7 +105,7 @@
         this.scheduler.withdraw(id, body.value.service, now)
         break
       case 'levels':
-        this.scheduler.tellLevels(body.value.levels, now)
+        this.scheduler.adoptLevels(body.value.levels, now)
         break
       case 'ping':
         this.reply(host, 0, { case: 'pong', value: { standing: this.gossip.standing() } })
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -26,7 +26,7 @@
   reportChanged (row: Row): void
 
   /** @param storeMs - the store's clock, in milliseconds */
-  storeTold (storeMs: number): void
+  storeClockRead (storeMs: number): void
 }
 
 /** What this host knows of deployment, backend servers and other hosts, from the store and from other hosts. */
@@ -104,7 +104,7 @@
     const pauseMs = replica.table === this.platform.tables.members ? MEMBERS_PAUSE_MS : CHANGES_PAUSE_MS
     this.followers.set(replica.table, new Follower(this.platform.store, replica, {
       returned: () => this.storeReturned(replica),
-      told: storeMs => this.watcher.storeTold(storeMs)
+      clockRead: storeMs => this.watcher.storeClockRead(storeMs)
     }, this.clock, this.log, pauseMs))
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,7 +19,7 @@
 const REFRESH_MS = 500
 
 /** Time between two tellings of what the scheduler learned, in milliseconds: paces change within seconds. */
-const TELL_MS = 1_000
+const PUBLISH_MS = 1_000
 
 /** How long a stopping host still takes connections, in milliseconds: the balancer needs two misses, a second apart. */
 const LEAVING_MS = 2_500
@@ -43,7 +43,7 @@
   private isStopping = false
   private isTaking = true
   private refreshedAt = 0
-  private toldAt = 0
+  private publishedAt = 0
   private isRefreshDue = false
   private readonly absence = new Absence()
 
@@ -66,7 +66,7 @@
       membersChanged: () => this.membersChanged(),
       operatorOrdered: row => this.mover.takeOrder(row, this.clock.now()),
       reportChanged: row => this.mover.takeReport(row),
-      storeTold: storeMs => this.mover.hearTime(storeMs, this.clock.now())
+      storeClockRead: storeMs => this.mover.setStoreClock(storeMs, this.clock.now())
     }, clock, log)
     const { gossip, fleet } = this.directory
     const scheduler = new Scheduler(settings.bounds, settings.isFirstStart)
@@ -172,9 +172,9 @@
   private tick (): void {
     const now = this.clock.now()
     if (now - this.refreshedAt >= REFRESH_MS) this.refresh(now)
-    if (now - this.toldAt >= TELL_MS) {
-      this.toldAt = now
-      if (this.isInCharge) this.hub.tellPaces()
+    if (now - this.publishedAt >= PUBLISH_MS) {
+      this.publishedAt = now
+      if (this.isInCharge) this.hub.publishPaces()
     }
     if (this.mover.hasOrders) this.mover.tick(this.isInCharge, now)
     this.directory.gossip.tick()
--- a/src/gateway/mover.ts
+++ b/src/gateway/mover.ts
@@ -50,7 +50,7 @@
    * @param storeMs - the store's clock
    * @param now - steady time; both in milliseconds
    */
-  hearTime (storeMs: number, now: number): void {
+  setStoreClock (storeMs: number, now: number): void {
     this.storeOffset = storeMs - now
   }
 
@@ -66,7 +66,7 @@
     if (order === undefined) return false
     this.orders.set(order.service, { order, seenAt: now })
     this.log.info({ event: 'move-ordered', ...order }, 'move-ordered')
-    this.bring(order.service)
+    this.updateScheduler(order.service)
     return true
   }
 
@@ -79,7 +79,7 @@
     const report = this.platform.readMoveReport(row)
     if (report === undefined) return
     this.reports.set(report.service, { report, revision: row.revision })
-    this.bring(report.service)
+    this.updateScheduler(report.service)
   }
 
   /**
@@ -101,7 +101,7 @@
   }
 
   /** Tells the scheduler what is known of a service's move. */
-  private bring (service: string): void {
+  private updateScheduler (service: string): void {
     const known = this.orders.get(service)
     if (known === undefined) return
     const { order, seenAt } = known
--- a/src/schedule/allowance.ts
+++ b/src/schedule/allowance.ts
@@ -41,7 +41,7 @@
   private filledAt: number
   private given: Given[] = []
   /** As of when another scheduler's level was told last. */
-  private toldAt = -Infinity
+  private adoptedAt = -Infinity
 
   /**
    * @param organisation - states rate and burst
@@ -116,9 +116,9 @@
    * @param at - as of when, steady milliseconds
    * @param now - steady time, in milliseconds
    */
-  tell (part: number, at: number, now: number): void {
-    if (at <= this.toldAt || now - at > GIVEN_MEMORY_MS) return
-    this.toldAt = at
+  adopt (part: number, at: number, now: number): void {
+    if (at <= this.adoptedAt || now - at > GIVEN_MEMORY_MS) return
+    this.adoptedAt = at
     const since = this.given.filter(given => given.at > at).reduce((sum, given) => sum + given.units, 0)
     this.level = Math.min(this.most, part * this.most + (now - at) * this.ratePerMs) - since
     this.filledAt = now
--- a/src/schedule/allowances.ts
+++ b/src/schedule/allowances.ts
@@ -2,7 +2,7 @@
 import { Allowance, type Tolerance } from './allowance.js'
 
 /** Less of all hosts' work than this says little of what an organisation uses in all. */
-const TELLING_PART = 0.5
+const PUBLISHED_PART = 0.5
 
 /** What a scheduler had left of an allowance. */
 export interface AllowanceLevel {
@@ -67,8 +67,8 @@
    * @param told - what it had left
    * @param now - steady time, in milliseconds
    */
-  tell (told: AllowanceLevel, now: number): void {
-    this.of(told.organisation, now)?.tell(told.level, now - told.ageMs, now)
+  adopt (told: AllowanceLevel, now: number): void {
+    this.of(told.organisation, now)?.adopt(told.level, now - told.ageMs, now)
   }
 
   /**
@@ -76,7 +76,7 @@
    * @returns what is left, as a part of the whole bucket; undefined if only a small part of it is kept here
    */
   left (name: string | undefined): number | undefined {
-    return name === undefined || this.part < TELLING_PART ? undefined : this.known.get(name)?.left
+    return name === undefined || this.part < PUBLISHED_PART ? undefined : this.known.get(name)?.left
   }
 
   /**
--- a/src/schedule/loads.ts
+++ b/src/schedule/loads.ts
@@ -55,7 +55,7 @@
    *
    * @param paces - how fast they work
    */
-  tell (paces: readonly PaceSummary[]): void {
+  adoptPaces (paces: readonly PaceSummary[]): void {
     for (const pace of paces) this.all.get(pace.server)?.pace.adopt(pace)
   }
 
--- a/src/schedule/pace.ts
+++ b/src/schedule/pace.ts
@@ -17,7 +17,7 @@
 const UNKNOWN_STEP_MS = 40
 
 /** How many tokens a reading pace that another scheduler learned weighs as much as. */
-const TOLD_WEIGHT_TOKENS = 20_000
+const ADOPTED_WEIGHT_TOKENS = 20_000
 
 /** What one scheduler tells others of a server's pace. */
 export interface PaceSummary {
@@ -59,8 +59,8 @@
 
   /** @param told - what another scheduler learned of the server */
   adopt ({ tokenMs, stepMs }: PaceSummary): void {
-    this.readTokens = TOLD_WEIGHT_TOKENS
-    this.readMs = Math.max(0, tokenMs * (TOLD_WEIGHT_TOKENS + UNKNOWN_WEIGHT_TOKENS) -
+    this.readTokens = ADOPTED_WEIGHT_TOKENS
+    this.readMs = Math.max(0, tokenMs * (ADOPTED_WEIGHT_TOKENS + UNKNOWN_WEIGHT_TOKENS) -
       UNKNOWN_TOKEN_MS * UNKNOWN_WEIGHT_TOKENS)
     this.learnedStepMs = stepMs
   }
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -181,8 +181,8 @@
    * @param levels - what it had left, as a host heard it
    * @param now - steady time, in milliseconds
    */
-  tellLevels (levels: readonly AllowanceLevel[], now: number): void {
-    for (const level of levels) this.allowances.tell(level, now)
+  adoptLevels (levels: readonly AllowanceLevel[], now: number): void {
+    for (const level of levels) this.allowances.adopt(level, now)
   }
 
   /** How many jobs wait. */
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -30,7 +30,7 @@
   returned (): void
 
   /** @param storeMs - the store's clock with an answer whose rows are taken next, in milliseconds */
-  told (storeMs: number): void
+  clockRead (storeMs: number): void
 }
 
 /** Keeps up with one table. */
@@ -126,7 +126,7 @@
   }
 
   private succeeded (storeMs: number): void {
-    this.watcher.told(storeMs)
+    this.watcher.clockRead(storeMs)
     if (this.failures === 0) return
     this.log.info({ event: 'store-regained', table: this.replica.table, failures: this.failures }, 'store-regained')
     this.failures = 0
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -37,7 +37,7 @@
       seen.set(row.key, row)
       return before?.value?.toString() !== row.value?.toString()
     })
-    const watcher = { returned: () => { returns++ }, told: () => undefined }
+    const watcher = { returned: () => { returns++ }, clockRead: () => undefined }
     follower = new Follower(store, replica, watcher, new SteadyClock(), log)
     // The outages below are to meet a call that waits, not one that is still on its way.
     await until(() => seen.has('a') && standin.waitingCalls === 1)
@@ -62,7 +62,7 @@
     standin.fault = StoreFault.silent
     const rows: Row[] = []
     const late = new Follower(store, new Replica('servers', row => rows.push(row) > 0), {
-      returned: () => undefined, told: () => undefined
+      returned: () => undefined, clockRead: () => undefined
     }, new SteadyClock(), log)
     await new Promise(resolve => setTimeout(resolve, 300))
     standin.fault = undefined
--- a/test/allowance.test.ts
+++ b/test/allowance.test.ts
@@ -83,7 +83,7 @@
       scheduler.setServers([server('a', { slots: 1_000 })])
       scheduler.setOrganisations([{ ...organisation('o'), ratePerS: RATE, burst: RATE }], now)
       const level = heard === undefined ? [] : [{ organisation: 'o', level: heard.level, ageMs: now - heard.at }]
-      if (isTold) scheduler.tellLevels(level, now)
+      if (isTold) scheduler.adoptLevels(level, now)
     }
     begin(0)
     for (let now = 0; now < WINDOW_MS; now += 5) {
@@ -116,7 +116,7 @@
   it('do not refuse what an organisation has left', () => {
     const scheduler = schedulerOf(server('a', { slots: 9 }))
     scheduler.setOrganisations([{ ...organisation('o'), ratePerS: 10, burst: 10 }], 0)
-    scheduler.tellLevels([{ organisation: 'o', level: 0.9, ageMs: 5 }], 0)
+    scheduler.adoptLevels([{ organisation: 'o', level: 0.9, ageMs: 5 }], 0)
     const asked = Array.from({ length: 8 }, (_, i) => scheduler.ask(job(`${i}`, { organisation: 'o', rank: 0 }), 0))
     expect(granted(asked.flat()).length).toEqual(8)
   })
@@ -124,10 +124,10 @@
   it('go by the newest news, less what was given since', () => {
     const scheduler = schedulerOf(server('a', { slots: 9 }))
     scheduler.setOrganisations([{ ...organisation('o'), ratePerS: 0.001, burst: 10 }], 0)
-    scheduler.tellLevels([{ organisation: 'o', level: 1, ageMs: 400 }], 0)
+    scheduler.adoptLevels([{ organisation: 'o', level: 1, ageMs: 400 }], 0)
     expect(granted(scheduler.ask(job('1', { organisation: 'o', units: 4, rank: 0 }), 0)).length).toEqual(1)
-    scheduler.tellLevels([{ organisation: 'o', level: 0.5, ageMs: 10 }], 1)
-    scheduler.tellLevels([{ organisation: 'o', level: 0.9, ageMs: 300 }], 1)
+    scheduler.adoptLevels([{ organisation: 'o', level: 0.5, ageMs: 10 }], 1)
+    scheduler.adoptLevels([{ organisation: 'o', level: 0.9, ageMs: 300 }], 1)
     expect(refused(scheduler.ask(job('2', { organisation: 'o', units: 2, rank: 0 }), 1))).toEqual(['2'])
     expect(granted(scheduler.ask(job('3', { organisation: 'o', units: 1, rank: 0 }), 1))).toEqual(['3'])
   })
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -130,7 +130,7 @@
     await until(() => placements.length === 1)
     ticket.ended(Outcome.done, 77)
     await until(() => first!.scheduler.loads.paces.length === 1)
-    first!.hub.tellPaces()
+    first!.hub.publishPaces()
     await until(() => second!.scheduler.loads.paces.length === 1)
     expect(second!.scheduler.loads.paces[0]!.stepMs).toEqual(77)
     first!.close()
--- a/test/mover.test.ts
+++ b/test/mover.test.ts
@@ -54,7 +54,7 @@
     store = new RowStore(standin.address)
     standin.put('op', KEY, ORDER)
     mover = moverOf()
-    mover.hearTime(1_000_000, 0)
+    mover.setStoreClock(1_000_000, 0)
   })
 
   afterEach(async () => {
@@ -122,7 +122,7 @@
   })
 
   it('are due when the record says, for a host that started after the order', () => {
-    mover.hearTime(1_000_000, 50_000)
+    mover.setStoreClock(1_000_000, 50_000)
     mover.takeOrder(row('op', ORDER, 1), 50_000)
     mover.takeReport(row('status', { state: 'running', to: 'v2', due_ms: 1_004_000 }, 6))
     expect(scheduler.moves.of('s', 50_000)!.dueAt).toEqual(54_000)
