Let a move that is done have no say over later versions

Cause: found by reading: a move that was done kept all servers of other versions without work for good, also those of a later release that comes without an order. It ends 10 s after it was due.

--- a/src/move/move.ts
+++ b/src/move/move.ts
@@ -9,6 +9,12 @@
 /** Time that is left for the report to reach the store, in milliseconds: many times a usual write. */
 const REPORT_MARGIN_MS = 400
 
+/**
+ * How long after a move that is done servers of other versions get nothing, in milliseconds: stopped ones are off the
+ * list by then, and what has yet another version later has nothing to do with the move.
+ */
+const STOPPED_MS = 10_000
+
 /** Fewer sound answers than this are no reason to move all requests. */
 const LEAST_SOUND = 5
 
@@ -56,6 +62,14 @@
     return isLate || this.exposure.isTrialDue(route) ? [Side.fresh, Side.old] : [Side.old]
   }
 
+  /**
+   * @param now - steady time, in milliseconds
+   * @returns whether the move is done for so long that it has no say any more
+   */
+  isOver (now: number): boolean {
+    return this.stage === MoveStage.done && now > this.dueAt + STOPPED_MS
+  }
+
   /**
    * Counts a job that goes to a server.
    *
--- a/src/schedule/moves.ts
+++ b/src/schedule/moves.ts
@@ -64,7 +64,7 @@
    */
   choose (all: readonly Load[], open: readonly Load[], job: Job, now: number): Load | undefined {
     const move = this.moves.get(job.service)
-    if (move === undefined) return cheapest(open, job, now)
+    if (move === undefined || move.isOver(now)) return cheapest(open, job, now)
     const old = cheapest(open.filter(load => sideOf(move, load.server) === Side.old), job, now)
     const sides = move.sides(job.route, now + (old?.expectedMs(job) ?? 0), now)
     for (const side of sides) {
--- a/test/move.test.ts
+++ b/test/move.test.ts
@@ -219,6 +219,15 @@
 })
 
 describe('a version that was moved to', () => {
+  // Load: the next release comes without an order, long after the move.
+  it('shares requests with later versions', () => {
+    const scheduler = schedulerOf(server('x', { slots: 1, version: 'v2' }), server('z', { slots: 1, version: 'v3' }))
+    scheduler.moves.set(ORDER, MoveStage.done, ORDER.durationMs)
+    const now = ORDER.durationMs + 60_000
+    const effects = [1, 2].flatMap(i => scheduler.ask(job(String(i), { arrivedAt: now }), now))
+    expect(effects.map(effect => effect.kind === 'grant' ? effect.server : '').sort()).toEqual(['x', 'z'])
+  })
+
   it('gets all requests, though the list of servers still names the old ones', () => {
     const scheduler = schedulerOf(server('a', { slots: 9 }), server('x', { slots: 9, version: 'v2' }))
     scheduler.moves.set(ORDER, MoveStage.done, ORDER.durationMs)
