--- a/test/wire.test.ts
+++ b/test/wire.test.ts
@@ -7,7 +7,8 @@
 const WIRE_NAMES = ['attempt-id', 'deadline-ms', 'expected-instance', 'response-signature', 'not-executed',
   'token-usage', 'prompt-prefix', 'weight-versions', 'length-hint', 'pin-ms', 'kv-', 'rows-get', 'rows-feed', 'rows-tx',
   'row_version', 'expected_revision', 'tombstone', 'weighted_backends', 'session_affinity', 'max_attempts', 'api_keys',
-  'target_latency_ms', 'uncached_tokens', 'internal_port_range', '/marigoldvalve/']
+  'target_latency_ms', 'uncached_tokens', 'internal_port_range', '/marigoldvalve/', 'rollout', 'rolled_back',
+  'duration_s', 'now_ms', 'exposure_share']
 
 function sources (folder: string): string[] {
   return readdirSync(folder, { recursive: true, encoding: 'utf8' })
