Log each response that is cut off, and how long its server was silent

Four hypotheses: an abandoned silent server, time-outs of the HTTP server set with the configuration, an ended process, a response without length. A cut response was logged at debug level only, without server or silence, so the logs of an incident could not tell them apart. Now each one is a warn line response-cut with server, reason, silence, age and the deployment in force; debug line lost also gives the silence. No change of behaviour.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -181,7 +181,8 @@
   private handleLost (delivery: Delivery, outcome: Outcome): void {
     this.mayHaveRun = true
     this.job?.reportEnded(outcome)
-    this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason })
+    const silentMs = Math.round(delivery.silenceMs(this.context.clock.now()))
+    this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason, silentMs })
     this.excludedServers.push(delivery.server.id)
     this.sequencer.discardPartialEvent()
     if (mayRetryAfterExecution(this.request.route) && this.canRetry()) this.requestSlot(true)
@@ -210,7 +211,7 @@
    */
   private fail (status: number, reason: string, retryAfterMs = DEFAULT_RETRY_AFTER_MS): void {
     const { response, serverFailure: result } = this
-    if (response.isStarted) response.destroy()
+    if (response.isStarted) this.cutOff(reason)
     else if (result !== undefined) response.send(result.status, result.headers, result.body, result.isCloseDelimited)
     else if (!this.mayHaveRun) response.sendText(Status.unavailable, reason, retryAfterMs)
     else response.sendText(status === Status.unavailable ? Status.badGateway : status, reason)
@@ -218,6 +219,24 @@
     this.finish()
   }
 
+  /** Ends a response that was started, without its end. Logged at any level, since its caller gets no status. */
+  private cutOff (reason: string): void {
+    const { request, delivery, context } = this
+    const now = context.clock.now()
+    context.log.warn({
+      event: 'response-cut',
+      attempt: request.attemptId,
+      route: request.route.name,
+      server: delivery?.server.id ?? this.excludedServers.at(-1),
+      reason,
+      silentMs: Math.round(delivery?.silenceMs(now) ?? 0),
+      ageMs: Math.round(now - request.arrivedAt),
+      leftMs: Math.round(request.deadlineAt - now),
+      deployment: context.deployment()?.revision
+    }, 'response-cut')
+    this.response.destroy()
+  }
+
   private cancel (): void {
     if (this.delivery !== undefined) {
       this.delivery.abort()
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -120,7 +120,15 @@
    * @returns whether the server has sent nothing for so long that the request is to be abandoned there
    */
   isSilent (now: number): boolean {
-    return now - this.lastReceivedAt > Math.max(MIN_SILENCE_MS, 2 * this.request.route.objectiveMs)
+    return this.silenceMs(now) > Math.max(MIN_SILENCE_MS, 2 * this.request.route.objectiveMs)
+  }
+
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns time since the latest event, or since the request was sent if there was none; in milliseconds
+   */
+  silenceMs (now: number): number {
+    return now - this.lastReceivedAt
   }
 
   onSent (): void {
