Add failing tests: responses of a silent server are cut off

Reproduced with scripted servers that are silent for 1.5 s: a stream that may not be sent again, and one that may be but finds no other server, lose their connection midway; an unsafe call gets 502. The silence alone suffices; changes of the configuration play no part.

--- /dev/null
+++ b/test/silence.test.ts
@@ -0,0 +1,76 @@
+import { afterEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { RetrySafety } from '../src/routing/index.js'
+import { deployment, respond, Rig, route, type Script } from './rig.js'
+
+/** Longer than the silence after which a request may be sent to another server, in milliseconds. */
+const SILENCE_MS = 1_500
+
+const GET = ['GET /a HTTP/1.1', 'x-attempt: a1']
+const POST = ['POST /a HTTP/1.1', 'x-attempt: a1']
+
+function statusOf (text: string): number {
+  return Number(text.split(' ')[1])
+}
+
+function event (id: number): string {
+  const text = `id: ${id}\ndata: x\n\n`
+  return `${text.length.toString(16)}\r\n${text}\r\n`
+}
+
+/** Sends the first event, then nothing for a while, then the rest of the stream. */
+const pauseStream: Script = (_, __, socket) => {
+  socket.write('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\n' +
+    `Transfer-Encoding: chunked\r\n\r\n${event(1)}`)
+  setTimeout(() => socket.write(`${event(2)}0\r\n\r\n`), SILENCE_MS)
+}
+
+describe('a sound server that is silent for a while', () => {
+  let rig: Rig
+  afterEach(async () => { await rig.close() })
+
+  // Guards against: a stream that only its silent server could finish was cut off midway.
+  it('finishes a stream that may not be sent to another server', async () => {
+    const route_ = route({ retrySafety: RetrySafety.stream })
+    rig = (await Rig.start(deployment({ routes: [route_] }), pauseStream, pauseStream)).rig
+    const text = await rig.request(POST, 'x')
+    expect(text).toInclude('id: 2')
+    expect(text.endsWith('0\r\n\r\n')).toEqual(true)
+  })
+
+  // Guards against: a resumable stream was closed midway when no slot at another server was granted.
+  it('finishes a resumable stream if no other server is available', async () => {
+    const route_ = route({ retrySafety: RetrySafety.stream, isResumable: true })
+    rig = (await Rig.start(deployment({ routes: [route_] }), pauseStream)).rig
+    const text = await rig.request(POST, 'x')
+    expect(text).toInclude('id: 2')
+    expect(text.endsWith('0\r\n\r\n')).toEqual(true)
+  })
+
+  // Guards against: the caller got 502 for a call that its silent server completed later.
+  it('answers a call that may not be repeated', async () => {
+    const respondLate: Script = (_, __, socket) => {
+      setTimeout(() => respond(socket, '200 OK', 'filed', ['x-attempt: a1']), SILENCE_MS)
+    }
+    const route_ = route({ retrySafety: RetrySafety.unsafe })
+    const started = await Rig.start(deployment({ routes: [route_] }), respondLate, respondLate)
+    rig = started.rig
+    expect(statusOf(await rig.request(POST, 'x'))).toEqual(200)
+    expect(started.servers.map(({ requests }) => requests.length).reduce((a, b) => a + b)).toEqual(1)
+  })
+})
+
+describe('a server that stays silent', () => {
+  let rig: Rig
+  afterEach(async () => { await rig.close() })
+
+  it('is left for another server if the request may be repeated', async () => {
+    let isFirst = true
+    const respondIfSecond: Script = (_, __, socket) => {
+      if (!isFirst) respond(socket, '200 OK', 'fine', ['x-attempt: a1'])
+      isFirst = false
+    }
+    rig = (await Rig.start(deployment(), respondIfSecond, respondIfSecond)).rig
+    expect(statusOf(await rig.request(GET))).toEqual(200)
+  })
+})
