--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,12 +1,15 @@
 import type { JobHandle, Placement } from '../dispatch/index.js'
 import type { BackendServer } from '../fleet/index.js'
-import { mayRetryAfterExecution } from '../routing/index.js'
+import { chooseService, mayRetryAfterExecution } from '../routing/index.js'
 import { Outcome, Refusal } from '../schedule/index.js'
+import type { BufferedResponse } from './bufferedresponse.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
 import type { ForwardContext } from './context.js'
-import { type BufferedResponse, Delivery } from './delivery.js'
+import { Delivery } from './delivery.js'
 import { EventSequencer } from './eventsequencer.js'
+import { FailedResponse } from './failedresponse.js'
+import { buildJob } from './slotrequest.js'
 import { Status } from './status.js'
 
 /** Least time before the deadline at which a request is retried, in milliseconds: about one round trip. */
@@ -15,9 +18,6 @@
 /** How many further slots an attempt requests because the granted server is no longer usable. */
 const MAX_REGRANTS = 8
 
-/** Retry-After of failed attempts for which the scheduler gave no time, in milliseconds. */
-const DEFAULT_RETRY_AFTER_MS = 500
-
 /** One attempt of a caller, from its arrival to its final response. It is sent to one server at a time. */
 export class Attempt {
   private job: JobHandle | undefined
@@ -29,10 +29,7 @@
   private regrantCount = 0
   /** Whether the request was charged to the organisation's quota already. */
   private isCharged = false
-  /** Whether a server may have run the request. */
-  private mayHaveRun = false
-  /** A server's own error response, for the caller if no retry succeeds. */
-  private serverFailure: BufferedResponse | undefined
+  private readonly failedResponse: FailedResponse
   private isFinished = false
 
   /**
@@ -48,7 +45,8 @@
     private readonly onFinished: (attempt: Attempt) => void
   ) {
     this.sequencer = new EventSequencer(request.lastEventId)
-    this.service = chooseService(request, context.random.next())
+    this.service = chooseService(request.route, context.random.next())
+    this.failedResponse = new FailedResponse(context, request, response)
   }
 
   /** Requests the first slot. */
@@ -73,7 +71,7 @@
   tick (now: number): void {
     if (this.isFinished) return
     if (now >= this.request.deadlineAt) {
-      if (this.delivery?.wasSent === true) this.mayHaveRun = true
+      if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
       this.cancel()
       this.fail(Status.gatewayTimeout, 'no answer within the time that the route allows')
     } else if (this.delivery?.isSilent(now) === true && this.canRetry()) {
@@ -83,29 +81,11 @@
   }
 
   private requestSlot (isRetry: boolean): void {
-    const { request, context } = this
-    const { route } = request
+    const { request, context, service, isCharged } = this
     this.delivery = undefined
-    this.job = context.dispatcher.request({
-      service: this.service,
-      route: route.name,
-      fingerprint: request.fingerprint,
-      organisationRank: request.organisation?.rank ?? 0,
-      rank: route.rank,
-      organisation: request.organisation?.name,
-      units: request.units,
-      promptTokens: request.promptTokens,
-      expectedEvents: request.expectedTokens / (context.deployment()?.services.get(this.service)?.tokensPerEvent ?? 1),
-      arrivedAt: request.arrivedAt,
-      objectiveAt: request.objectiveAt,
-      objectiveMs: route.objectiveMs,
-      maxEventGapMs: route.maxEventGapMs,
-      deadlineAt: request.deadlineAt,
-      dataCentre: context.dataCentre,
-      excludedServers: [...this.excludedServers],
-      isRetry,
-      isCharged: this.isCharged
-    }, placement => queueMicrotask(() => this.handlePlacement(placement)))
+    const slotRequest = { service, excludedServers: [...this.excludedServers], isRetry, isCharged }
+    this.job = context.dispatcher.request(buildJob(context, request, slotRequest),
+      placement => queueMicrotask(() => this.handlePlacement(placement)))
   }
 
   private handlePlacement (placement: Placement): void {
@@ -153,7 +133,7 @@
       this.response.sendText(Status.badRequest, 'the request can not be passed on')
       this.finish()
     } else if (outcome === Outcome.failed) {
-      this.serverFailure = result
+      this.failedResponse.serverFailure = result
       this.handleLost(delivery, outcome)
     } else {
       this.handleLost(delivery, outcome)
@@ -179,7 +159,7 @@
 
   /** Handles a delivery without a usable response whose server may have run the request. */
   private handleLost (delivery: Delivery, outcome: Outcome): void {
-    this.mayHaveRun = true
+    this.failedResponse.mayHaveRun = true
     this.job?.reportEnded(outcome)
     const silentMs = Math.round(delivery.silenceMs(this.context.clock.now()))
     this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason, silentMs })
@@ -190,14 +170,14 @@
   }
 
   private canRetry (): boolean {
-    if (!mayRetryAfterExecution(this.request.route) && this.mayHaveRun) return false
+    if (!mayRetryAfterExecution(this.request.route) && this.failedResponse.mayHaveRun) return false
     const remainingMs = this.request.deadlineAt - this.context.clock.now()
     return this.sendCount < this.request.route.maxAttempts && remainingMs > MIN_RETRY_TIME_MS
   }
 
   private handleRefusal (reason: Refusal, retryAfterMs: number): void {
     this.log('refused', { reason, retryAfterMs })
-    if (reason === Refusal.quota && !this.mayHaveRun) {
+    if (reason === Refusal.quota && !this.failedResponse.mayHaveRun) {
       this.response.sendText(Status.tooManyRequests, 'the allowance is used up', retryAfterMs)
       this.finish()
     } else {
@@ -205,38 +185,13 @@
     }
   }
 
-  /**
-   * Finishes the attempt without a successful response from a server. Callers take status 503 to mean that the request
-   * did not run, so it is sent only if that is certain.
-   */
-  private fail (status: number, reason: string, retryAfterMs = DEFAULT_RETRY_AFTER_MS): void {
-    const { response, serverFailure: result } = this
-    if (response.isStarted) this.cutOff(reason)
-    else if (result !== undefined) response.send(result.status, result.headers, result.body, result.isCloseDelimited)
-    else if (!this.mayHaveRun) response.sendText(Status.unavailable, reason, retryAfterMs)
-    else response.sendText(status === Status.unavailable ? Status.badGateway : status, reason)
+  /** Finishes the attempt without a successful response from a server. */
+  private fail (status: number, reason: string, retryAfterMs?: number): void {
+    this.failedResponse.send(status, reason, this.delivery, retryAfterMs)
     this.log('gave-up', { status, reason })
     this.finish()
   }
 
-  /** Ends a response that was started, without its end. Logged at any level, since its caller gets no status. */
-  private cutOff (reason: string): void {
-    const { request, delivery, context } = this
-    const now = context.clock.now()
-    context.log.warn({
-      event: 'response-cut',
-      attempt: request.attemptId,
-      route: request.route.name,
-      server: delivery?.server.id ?? this.excludedServers.at(-1),
-      reason,
-      silentMs: Math.round(delivery?.silenceMs(now) ?? 0),
-      ageMs: Math.round(now - request.arrivedAt),
-      leftMs: Math.round(request.deadlineAt - now),
-      deployment: context.deployment()?.revision
-    }, 'response-cut')
-    this.response.destroy()
-  }
-
   private cancel (): void {
     if (this.delivery !== undefined) {
       this.delivery.abort()
@@ -255,15 +210,3 @@
     this.context.log.debug({ event, attempt: this.request.attemptId, route: this.request.route.name, ...fields }, event)
   }
 }
-
-/** Chooses one of the route's services by weight; `random` is from 0 up to but not including 1. */
-function chooseService (request: CallerRequest, random: number): string {
-  const { targets } = request.route
-  const total = targets.reduce((sum, target) => sum + target.weight, 0)
-  let remaining = random * total
-  for (const target of targets) {
-    remaining -= target.weight
-    if (remaining < 0) return target.service
-  }
-  return targets[targets.length - 1]?.service ?? ''
-}
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -1,6 +1,7 @@
 import type { BackendServer } from '../fleet/index.js'
 import { RetrySafety } from '../routing/index.js'
 import { Outcome } from '../schedule/index.js'
+import type { BufferedResponse } from './bufferedresponse.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
 import type { ServerConnection } from './connection.js'
@@ -19,15 +20,6 @@
 /** Headers of responses that are not copied because the scheduler sets them itself. */
 const REWRITTEN_HEADERS: ReadonlySet<string> = new Set(['content-length'])
 
-/** A server's complete response. */
-export interface BufferedResponse {
-  readonly status: number
-  readonly headers: RawHeaders
-  readonly body: Buffer
-  /** Whether the end of the body was marked only by the end of the connection. */
-  readonly isCloseDelimited: boolean
-}
-
 /** Receives the progress of a delivery. */
 export interface DeliveryListener {
   /** Called when the first event arrives, or the headers of a response that is not streamed. */
--- a/src/routing/route.ts
+++ b/src/routing/route.ts
@@ -49,3 +49,21 @@
 export function mayRetryAfterExecution (route: Route): boolean {
   return route.retrySafety === RetrySafety.safe || (route.retrySafety === RetrySafety.stream && route.isResumable)
 }
+
+/**
+ * Chooses one of the route's services by weight.
+ *
+ * @param route - the route of a request
+ * @param random - a random number from 0 up to but not including 1
+ * @returns the name of the service; empty if the route has none
+ */
+export function chooseService (route: Route, random: number): string {
+  const { targets } = route
+  const total = targets.reduce((sum, target) => sum + target.weight, 0)
+  let remaining = random * total
+  for (const target of targets) {
+    remaining -= target.weight
+    if (remaining < 0) return target.service
+  }
+  return targets[targets.length - 1]?.service ?? ''
+}
