Await the response of a silent server until another server is granted

Callers saw a stream that had begun end with its connection closed, or 502 for a call, while their server was sound. Cause: after 1 s of silence, or twice the latency objective, the attempt abandoned its server, before it knew whether any other could continue. It did so also for requests that may not be sent again: whether a retry was allowed was checked before the request counted as run. A stream that had begun was closed, a call got 502. The same loss hit resumable streams if the second slot was refused. Class of fault: a suspicion treated as a failure, and the only copy given up before a replacement is held.

Now a silent server keeps the request. If the request may be sent again, a slot at another server is requested meanwhile, at most once a second, and the first server is left only when that slot is granted and it is still silent. The response ends earlier only if the server was silent for 3 s and is no longer listed. The scheduler learns of the silence at once (message Silent), so that it does not grant the silent server one job after the other.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -48,16 +48,19 @@
       requestedAt: this.clock.now(),
       isAcknowledged: false,
       server: undefined,
-      hasStarted: false
+      hasStarted: false,
+      isSilenceReported: false
     }
     if (!this.checkRetryBudget(job, state.requestedAt)) {
       onPlacement({ kind: 'refused', reason: Refusal.retryBudget, retryAfterMs: 0 })
-      return { reportStarted: () => undefined, reportEnded: () => undefined, withdraw: () => undefined }
+      const ignore = (): void => undefined
+      return { reportStarted: ignore, reportSilent: ignore, reportEnded: ignore, withdraw: ignore }
     }
     this.jobs.set(state.number, state)
     this.scheduler?.send(createAsk(state.number, { case: 'place', value: encodeJob(state.job, state.requestedAt) }))
     return {
       reportStarted: () => this.reportStarted(state),
+      reportSilent: () => this.reportSilent(state),
       reportEnded: (outcome, stepMs) => this.reportEnded(state, outcome, stepMs),
       withdraw: () => this.withdraw(state)
     }
@@ -143,6 +146,12 @@
     this.scheduler?.send(createAsk(state.number, { case: 'started', value: { server: state.server } }))
   }
 
+  private reportSilent (state: JobState): void {
+    if (state.server === undefined || state.isSilenceReported) return
+    state.isSilenceReported = true
+    this.scheduler?.send(createAsk(state.number, { case: 'silent', value: { server: state.server } }))
+  }
+
   private reportEnded (state: JobState, outcome: Outcome, stepMs = 0): void {
     if (!this.jobs.delete(state.number) || state.server === undefined) return
     this.scheduler?.send(createAsk(state.number, { case: 'ended', value: { server: state.server, outcome, stepMs } }))
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -7,6 +7,9 @@
 
 const OUTCOMES: ReadonlySet<string> = new Set(Object.values(Outcome))
 
+/** A host's report on a job that holds a slot. */
+type ProgressReport = Extract<Ask['body'], { case: 'started' | 'silent' | 'ended' }>
+
 /** Connects the scheduler of this process to the hosts that use it, which may include this host. */
 export class Hub {
   private readonly replyHandlers = new Map<string, ReplyHandler>()
@@ -94,14 +97,10 @@
         this.scheduler.adoptRunningJob(decodeJob(id, body.value.place, now), body.value.server, body.value.started, now)
         break
       case 'started':
-        this.sendEffects(this.scheduler.recordFirstEvent(id, body.value.server, now))
-        break
-      case 'ended': {
-        const { server, outcome, stepMs } = body.value
-        const knownOutcome = OUTCOMES.has(outcome) ? outcome as Outcome : Outcome.cancelled
-        this.sendEffects(this.scheduler.recordEnd(id, server, knownOutcome, stepMs > 0 ? stepMs : undefined, now))
+      case 'silent':
+      case 'ended':
+        this.handleProgress(id, body, now)
         break
-      }
       case 'withdraw':
         this.scheduler.withdraw(id, body.value.service, now)
         break
@@ -121,6 +120,17 @@
     }
   }
 
+  private handleProgress (id: string, report: ProgressReport, now: number): void {
+    const { server } = report.value
+    if (report.case === 'started') this.sendEffects(this.scheduler.recordFirstEvent(id, server, now))
+    else if (report.case === 'silent') this.scheduler.loads.get(server)?.recordSilence(id, now)
+    else {
+      const { outcome, stepMs } = report.value
+      const knownOutcome = OUTCOMES.has(outcome) ? outcome as Outcome : Outcome.cancelled
+      this.sendEffects(this.scheduler.recordEnd(id, server, knownOutcome, stepMs > 0 ? stepMs : undefined, now))
+    }
+  }
+
   private sendEffects (effects: readonly Effect[]): void {
     for (const effect of effects) {
       const slash = effect.job.lastIndexOf('/')
--- a/src/dispatch/jobhandle.ts
+++ b/src/dispatch/jobhandle.ts
@@ -10,6 +10,9 @@
   /** Reports that the first event of the response arrived. */
   reportStarted (): void
 
+  /** Reports that the server sends nothing, though the job still holds its slot. Only the first report counts. */
+  reportSilent (): void
+
   /**
    * Reports that the job no longer occupies its slot.
    *
@@ -35,4 +38,5 @@
   /** The id of the granted server; undefined while the job is queued. */
   server: string | undefined
   hasStarted: boolean
+  isSilenceReported: boolean
 }
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -9,26 +9,28 @@
 import { Delivery } from './delivery.js'
 import { EventSequencer } from './eventsequencer.js'
 import { FailedResponse } from './failedresponse.js'
-import { buildJob } from './slotrequest.js'
+import { Slots } from './slots.js'
 import { Status } from './status.js'
 
 /** Least time before the deadline at which a request is retried, in milliseconds: about one round trip. */
 const MIN_RETRY_TIME_MS = 30
 
+/**
+ * Silence after which a server that is no longer listed counts as lost, in milliseconds. A server that leaves
+ * unannounced still responds for a few seconds.
+ */
+const REMOVED_SERVER_SILENCE_MS = 3_000
+
 /** How many further slots an attempt requests because the granted server is no longer usable. */
 const MAX_REGRANTS = 8
 
 /** One attempt of a caller, from its arrival to its final response. It is sent to one server at a time. */
 export class Attempt {
-  private job: JobHandle | undefined
+  private readonly slots: Slots
   private delivery: Delivery | undefined
-  private readonly excludedServers: string[] = []
   private readonly sequencer: EventSequencer
-  private readonly service: string
   private sendCount = 0
   private regrantCount = 0
-  /** Whether the request was charged to the organisation's quota already. */
-  private isCharged = false
   private readonly failedResponse: FailedResponse
   private isFinished = false
 
@@ -45,7 +47,10 @@
     private readonly onFinished: (attempt: Attempt) => void
   ) {
     this.sequencer = new EventSequencer(request.lastEventId)
-    this.service = chooseService(request.route, context.random.next())
+    this.slots = new Slots(context, request, chooseService(request.route, context.random.next()), {
+      onPlacement: placement => this.handlePlacement(placement),
+      onAlternative: (server, job) => this.leaveSilentServer(server, job)
+    })
     this.failedResponse = new FailedResponse(context, request, response)
   }
 
@@ -64,7 +69,7 @@
   }
 
   /**
-   * Fails the attempt if its deadline has passed, and retries it if its server is silent.
+   * Fails the attempt if its deadline has passed, and looks for another server if its server is silent.
    *
    * @param now - monotonic time, in milliseconds
    */
@@ -74,47 +79,64 @@
       if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
       this.cancel()
       this.fail(Status.gatewayTimeout, 'no answer within the time that the route allows')
-    } else if (this.delivery?.isSilent(now) === true && this.canRetry()) {
-      this.delivery.abort()
-      this.handleLost(this.delivery, Outcome.silent)
+    } else if (this.delivery?.isSilent(now) === true) {
+      this.handleSilence(this.delivery, now)
+    }
+  }
+
+  /**
+   * A silent server may be sound, so its response is awaited until another server is granted. The response ends earlier
+   * only if the server is no longer listed.
+   */
+  private handleSilence (delivery: Delivery, now: number): void {
+    this.slots.job?.reportSilent()
+    if (delivery.silenceMs(now) > REMOVED_SERVER_SILENCE_MS && !this.context.fleet.isCurrent(delivery.server)) {
+      delivery.abort()
+      this.handleLost(delivery, Outcome.silent)
+    } else if (this.canRepeat()) {
+      this.slots.requestAlternative(delivery.server.id, now)
     }
   }
 
+  /** @returns whether the request is sent to another server, which is so if it is usable and the first still silent */
+  private leaveSilentServer (serverId: string, job: JobHandle): boolean {
+    const now = this.context.clock.now()
+    const server = this.context.fleet.findUsable(serverId, now)
+    const { delivery } = this
+    if (server === undefined || delivery?.isSilent(now) !== true) return false
+    delivery.abort()
+    this.recordLost(delivery, Outcome.silent)
+    this.send(server, job)
+    return true
+  }
+
   private requestSlot (isRetry: boolean): void {
-    const { request, context, service, isCharged } = this
     this.delivery = undefined
-    const slotRequest = { service, excludedServers: [...this.excludedServers], isRetry, isCharged }
-    this.job = context.dispatcher.request(buildJob(context, request, slotRequest),
-      placement => queueMicrotask(() => this.handlePlacement(placement)))
+    this.slots.requestSlot(isRetry)
   }
 
   private handlePlacement (placement: Placement): void {
-    if (this.isFinished) {
-      if (placement.kind === 'granted') this.job?.reportEnded(Outcome.cancelled)
-      return
-    }
     if (placement.kind === 'refused') {
       this.handleRefusal(placement.reason, placement.retryAfterMs)
       return
     }
-    this.isCharged = true
+    this.slots.isCharged = true
     const server = this.context.fleet.findUsable(placement.server, this.context.clock.now())
     if (server === undefined) this.requestOtherSlot(placement.server)
-    else this.send(server)
+    else this.send(server, this.slots.job!)
   }
 
   /** Returns a slot whose server is unusable, which the scheduler does not know yet, and requests another slot. */
   private requestOtherSlot (unusableServer: string): void {
-    this.job?.reportEnded(Outcome.cancelled)
-    this.excludedServers.push(unusableServer)
+    this.slots.job?.reportEnded(Outcome.cancelled)
+    this.slots.excludedServers.push(unusableServer)
     this.regrantCount++
     if (this.regrantCount > MAX_REGRANTS) this.fail(Status.unavailable, 'no server takes work')
     else this.requestSlot(false)
   }
 
-  private send (server: BackendServer): void {
+  private send (server: BackendServer, job: JobHandle): void {
     this.log('sent', { server: server.id, send: this.sendCount + 1 })
-    const job = this.job!
     this.delivery = new Delivery(this.context, this.request, server, this.sequencer, this.response, {
       onStarted: () => job.reportStarted(),
       onEnded: (delivery, outcome, result) => this.handleDeliveryEnd(delivery, outcome, result)
@@ -128,7 +150,7 @@
     else if (outcome === Outcome.rejected || outcome === Outcome.misdirected || outcome === Outcome.unreachable) {
       this.handleNotRun(delivery, outcome)
     } else if (outcome === Outcome.unsendable) {
-      this.job?.reportEnded(outcome)
+      this.slots.job?.reportEnded(outcome)
       this.log('unsendable', { reason: delivery.failureReason })
       this.response.sendText(Status.badRequest, 'the request can not be passed on')
       this.finish()
@@ -141,7 +163,7 @@
   }
 
   private complete (delivery: Delivery, result: BufferedResponse | undefined): void {
-    this.job?.reportEnded(Outcome.done, delivery.stepMs)
+    this.slots.job?.reportEnded(Outcome.done, delivery.stepMs)
     if (result === undefined) this.response.end()
     else this.response.send(result.status, result.headers, result.body, result.isCloseDelimited)
     this.log('answered', { ...delivery.logFields, ms: Math.round(this.context.clock.now() - this.request.arrivedAt) })
@@ -149,9 +171,9 @@
   }
 
   private handleNotRun (delivery: Delivery, outcome: Outcome): void {
-    this.job?.reportEnded(outcome)
+    this.slots.job?.reportEnded(outcome)
     this.log('not-run', { server: delivery.server.id, outcome })
-    this.excludedServers.push(delivery.server.id)
+    this.slots.excludedServers.push(delivery.server.id)
     // If nothing was sent, the next send does not draw on the retry budget.
     if (this.canRetry()) this.requestSlot(delivery.wasSent)
     else this.fail(Status.unavailable, 'the server did not take the request')
@@ -159,14 +181,23 @@
 
   /** Handles a delivery without a usable response whose server may have run the request. */
   private handleLost (delivery: Delivery, outcome: Outcome): void {
+    this.recordLost(delivery, outcome)
+    if (this.canRepeat()) this.requestSlot(true)
+    else this.fail(Status.badGateway, 'the server gave no whole answer')
+  }
+
+  private recordLost (delivery: Delivery, outcome: Outcome): void {
     this.failedResponse.mayHaveRun = true
-    this.job?.reportEnded(outcome)
+    this.slots.job?.reportEnded(outcome)
     const silentMs = Math.round(delivery.silenceMs(this.context.clock.now()))
     this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason, silentMs })
-    this.excludedServers.push(delivery.server.id)
+    this.slots.excludedServers.push(delivery.server.id)
     this.sequencer.discardPartialEvent()
-    if (mayRetryAfterExecution(this.request.route) && this.canRetry()) this.requestSlot(true)
-    else this.fail(Status.badGateway, 'the server gave no whole answer')
+  }
+
+  /** Whether the request may be sent again though a server may have run it. */
+  private canRepeat (): boolean {
+    return mayRetryAfterExecution(this.request.route) && this.canRetry()
   }
 
   private canRetry (): boolean {
@@ -193,16 +224,14 @@
   }
 
   private cancel (): void {
-    if (this.delivery !== undefined) {
-      this.delivery.abort()
-      this.job?.reportEnded(Outcome.cancelled)
-    } else {
-      this.job?.withdraw()
-    }
+    if (this.delivery === undefined) return
+    this.delivery.abort()
+    this.slots.job?.reportEnded(Outcome.cancelled)
   }
 
   private finish (): void {
     this.isFinished = true
+    this.slots.close()
     this.onFinished(this)
   }
 
--- /dev/null
+++ b/src/forward/slots.ts
@@ -0,0 +1,107 @@
+import type { JobHandle, Placement } from '../dispatch/index.js'
+import { Outcome } from '../schedule/index.js'
+import type { CallerRequest } from './callerrequest.js'
+import type { ForwardContext } from './context.js'
+import { buildJob } from './slotrequest.js'
+
+/** Time between two requests for a slot at another server while a server is silent, in milliseconds. */
+const ALTERNATIVE_INTERVAL_MS = 1_000
+
+/** Receives the results of an attempt's slot requests. */
+export interface SlotListener {
+  /**
+   * Called with the result of the current request.
+   *
+   * @param placement - the granted server, or why none was granted
+   */
+  onPlacement (placement: Placement): void
+
+  /**
+   * Called if a server was granted in place of a silent one.
+   *
+   * @param server - id of the granted server
+   * @param job - the granted slot
+   * @returns whether the attempt leaves the silent server for it; otherwise the slot is released
+   */
+  onAlternative (server: string, job: JobHandle): boolean
+}
+
+/** The slots that one attempt requests and holds. */
+export class Slots {
+  /** Ids of the servers that may not be granted again. */
+  readonly excludedServers: string[] = []
+  /** Whether the request was charged to the organisation's quota already. */
+  isCharged = false
+  /** The slot in use, or the request for it. */
+  private current: JobHandle | undefined
+  /** Request for a slot at another server, made while the current server is silent; that one may still respond. */
+  private alternative: JobHandle | undefined
+  private nextAlternativeAt = 0
+  private isClosed = false
+
+  /**
+   * @param context - what the handling of requests depends on
+   * @param request - the caller's request
+   * @param service - name of the service that is to run it
+   * @param listener - receives the results
+   */
+  constructor (
+    private readonly context: ForwardContext,
+    private readonly request: CallerRequest,
+    private readonly service: string,
+    private readonly listener: SlotListener
+  ) {}
+
+  /** The slot in use, or the latest request for one. */
+  get job (): JobHandle | undefined {
+    return this.current
+  }
+
+  /**
+   * Requests a slot, unless one was requested already because the previous server was silent.
+   *
+   * @param isRetry - whether the request was sent to a server before
+   */
+  requestSlot (isRetry: boolean): void {
+    this.current = this.alternative ?? this.submit(isRetry, [...this.excludedServers])
+    this.alternative = undefined
+  }
+
+  /**
+   * Requests a slot at another server while the current one is silent, unless one was requested shortly before.
+   *
+   * @param silentServer - id of the current server
+   * @param now - monotonic time, in milliseconds
+   */
+  requestAlternative (silentServer: string, now: number): void {
+    if (this.alternative !== undefined || now < this.nextAlternativeAt) return
+    this.nextAlternativeAt = now + ALTERNATIVE_INTERVAL_MS
+    this.alternative = this.submit(true, [...this.excludedServers, silentServer])
+  }
+
+  /** Withdraws the requests that are not granted yet. No more results are reported. */
+  close (): void {
+    this.isClosed = true
+    this.current?.withdraw()
+    this.alternative?.withdraw()
+  }
+
+  private submit (isRetry: boolean, excludedServers: readonly string[]): JobHandle {
+    const { context, request, service, isCharged } = this
+    const slotRequest = { service, excludedServers, isRetry, isCharged }
+    const job: JobHandle = context.dispatcher.request(buildJob(context, request, slotRequest),
+      placement => queueMicrotask(() => this.handlePlacement(job, placement)))
+    return job
+  }
+
+  private handlePlacement (job: JobHandle, placement: Placement): void {
+    if (this.isClosed) job.reportEnded(Outcome.cancelled)
+    else if (job !== this.alternative) this.listener.onPlacement(placement)
+    else {
+      this.alternative = undefined
+      if (placement.kind === 'refused') return
+      if (this.listener.onAlternative(placement.server, job)) this.current = job
+      else job.reportEnded(Outcome.cancelled)
+    }
+  }
+}
--- a/src/schedule/load.ts
+++ b/src/schedule/load.ts
@@ -12,6 +12,8 @@
   readonly tokensBefore: number
   /** When the first event arrived. */
   firstEventAt: number | undefined
+  /** Whether the server was reported as silent for this job. */
+  isSilent: boolean
 }
 
 /** Round-trip time to a server in another data centre, in milliseconds. */
@@ -61,7 +63,7 @@
    */
   addJob (job: Job, now: number): void {
     const tokensBefore = this.pendingPromptTokens + job.promptTokens
-    this.running.set(job.id, { job, grantedAt: now, tokensBefore, firstEventAt: undefined })
+    this.running.set(job.id, { job, grantedAt: now, tokensBefore, firstEventAt: undefined, isSilent: false })
   }
 
   /**
@@ -77,6 +79,19 @@
     this.speed.recordFirstEvent(now - run.grantedAt, run.tokensBefore)
   }
 
+  /**
+   * Records that the server sends nothing for a job; counts once per job.
+   *
+   * @param jobId - the job's id
+   * @param now - monotonic time, in milliseconds
+   */
+  recordSilence (jobId: string, now: number): void {
+    const run = this.running.get(jobId)
+    if (run === undefined || run.isSilent) return
+    run.isSilent = true
+    this.health.recordOutcome(Outcome.silent, now)
+  }
+
   /**
    * Removes a job from the server and records how it ended.
    *
@@ -86,8 +101,9 @@
    * @param now - monotonic time, in milliseconds
    */
   removeJob (jobId: string, outcome: Outcome, stepMs: number | undefined, now: number): void {
+    const wasSilent = this.running.get(jobId)?.isSilent === true
     this.running.delete(jobId)
-    this.health.recordOutcome(outcome, now)
+    if (outcome !== Outcome.silent || !wasSilent) this.health.recordOutcome(outcome, now)
     if (stepMs !== undefined) this.speed.recordStep(stepMs)
   }
 
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -158,6 +158,11 @@
     this.fleet.apply({ id: server.id, revision: 2, server }, this.clock.now())
   }
 
+  /** Removes a server from the fleet of the host, but not from its scheduler. */
+  remove (index: number): void {
+    this.fleet.apply({ id: this.servers[index]!.id, revision: 2, server: undefined }, this.clock.now())
+  }
+
   async listen (currentDeployment: Deployment): Promise<void> {
     const hub = new Hub(this.scheduler, new Gossip([], this.clock, () => undefined), this.clock)
     const dispatcher = new Dispatcher(this.clock, WIDE_LIMITS.retries)
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { RetrySafety } from '../src/routing/index.js'
+import { createScheduler, job, server } from './jobs.js'
 import { deployment, respond, Rig, route, type Script } from './rig.js'
 
 /** Longer than the silence after which a request may be sent to another server, in milliseconds. */
@@ -73,4 +74,24 @@
     rig = (await Rig.start(deployment(), respondIfSecond, respondIfSecond)).rig
     expect(statusOf(await rig.request(GET))).toEqual(200)
   })
+
+  // Guards against: a caller waits for the route's timeout though its server is gone.
+  it('is given up once it is no longer listed', async () => {
+    const route_ = route({ retrySafety: RetrySafety.unsafe, timeoutMs: 10_000 })
+    const respondNever: Script = () => rig.remove(0)
+    rig = (await Rig.start(deployment({ routes: [route_] }), respondNever)).rig
+    const sentAt = performance.now()
+    expect(statusOf(await rig.request(POST, 'x'))).toEqual(502)
+    expect(performance.now() - sentAt < 4_000).toEqual(true)
+  })
+
+  // Guards against: a server that is silent for jobs which may not be sent again gets one job after the other.
+  it('gets no further jobs at once', () => {
+    const scheduler = createScheduler(server('a', { slots: 4 }), server('b', { slots: 4 }))
+    const [grant] = scheduler.submit(job('1'), 0)
+    const silentServer = grant?.kind === 'grant' ? grant.server : ''
+    scheduler.loads.get(silentServer)?.recordSilence('1', 1_200)
+    const effects = ['2', '3', '4'].flatMap(id => scheduler.submit(job(id, { arrivedAt: 1_200 }), 1_200))
+    expect(effects.every(effect => effect.kind === 'grant' && effect.server !== silentServer)).toEqual(true)
+  })
 })
