Count a send to a silent server against the route's limit

Callers saw nothing; servers of a service that is silent got the same safe request once a second until its deadline, whatever the route's max_attempts says (BUDGET). Cause: sends were counted when a delivery ended by itself, and an abandoned one did not. Now a send counts when the request may have reached the server.

The new test of silence.test.ts, three servers that never respond and a limit of two, failed before (three servers got the request) and passes now.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -138,6 +138,7 @@
   private send (server: BackendServer, job: JobHandle): void {
     this.log('sent', { server: server.id, send: this.sendCount + 1 })
     this.delivery = new Delivery(this.context, this.request, server, this.sequencer, this.response, {
+      onSent: () => { this.sendCount++ },
       onStarted: () => job.reportStarted(),
       onEnded: (delivery, outcome, result) => this.handleDeliveryEnd(delivery, outcome, result)
     })
@@ -145,7 +146,6 @@
 
   private handleDeliveryEnd (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
     if (this.isFinished) return
-    if (delivery.wasSent) this.sendCount++
     if (outcome === Outcome.done) this.complete(delivery, result)
     else if (outcome === Outcome.rejected || outcome === Outcome.misdirected || outcome === Outcome.unreachable) {
       this.handleNotRun(delivery, outcome)
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -1,11 +1,11 @@
 import type { BackendServer } from '../fleet/index.js'
 import { RetrySafety } from '../routing/index.js'
 import { Outcome } from '../schedule/index.js'
-import type { BufferedResponse } from './bufferedresponse.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
 import type { ServerConnection } from './connection.js'
 import type { ForwardContext } from './context.js'
+import type { DeliveryListener } from './deliverylistener.js'
 import type { EventSequencer } from './eventsequencer.js'
 import { Exchange, type ResponseHandler } from './exchange.js'
 import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders } from './headers.js'
@@ -20,21 +20,6 @@
 /** Headers of responses that are not copied because the scheduler sets them itself. */
 const REWRITTEN_HEADERS: ReadonlySet<string> = new Set(['content-length'])
 
-/** Receives the progress of a delivery. */
-export interface DeliveryListener {
-  /** Called when the first event arrives, or the headers of a response that is not streamed. */
-  onStarted (): void
-
-  /**
-   * Called when the delivery is finished.
-   *
-   * @param delivery - the delivery
-   * @param outcome - the outcome of the request at its server
-   * @param result - the complete response; undefined if there is none or its events were forwarded already
-   */
-  onEnded (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void
-}
-
 /** One send of a caller's request to one server. */
 export class Delivery implements ResponseHandler {
   /** Whether the server may have received the request. */
@@ -125,6 +110,7 @@
 
   onSent (): void {
     this.wasSent = true
+    this.listener.onSent()
   }
 
   onHead (status: number, headers: RawHeaders): void {
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -75,6 +75,16 @@
     expect(statusOf(await rig.request(GET))).toEqual(200)
   })
 
+  // Guards against: an abandoned send was not counted, so a request went to more servers than its route allows.
+  it('counts against the number of servers that the route allows', async () => {
+    const route_ = route({ maxAttempts: 2, timeoutMs: 3_500 })
+    const respondNever: Script = () => undefined
+    const started = await Rig.start(deployment({ routes: [route_] }), respondNever, respondNever, respondNever)
+    rig = started.rig
+    expect(statusOf(await rig.request(GET))).toEqual(504)
+    expect(started.servers.flatMap(({ requests }) => requests).length).toEqual(2)
+  })
+
   // Guards against: a caller waits for the route's timeout though its server is gone.
   it('is given up once it is no longer listed', async () => {
     const route_ = route({ retrySafety: RetrySafety.unsafe, timeoutMs: 10_000 })
