Send on no request that crosses the end of its connection

Callers saw their connection close without a response, though a server ran the request. Causes, both when a host stops while a response without "Connection: close" is under way: the host ended the connection after that response, but a request that arrived until the caller noticed was still read and sent to a server; and a pipelined request, already sent to a server, lost its connection when the first response ended. The same happened to headers that arrived after the host had answered slow ones and ended the connection.

Now a request on a connection that can no longer carry a response is dropped before it is sent, and the connection ends after the last request that was received. The socket is read from the request, as Node attaches it to a pipelined response late; such a connection stayed open before.

The three tests of closing.test.ts failed before (2 requests at the server in place of 1, one whole response in place of 2, 1 request in place of none).

--- a/src/forward/callerresponse.ts
+++ b/src/forward/callerresponse.ts
@@ -14,18 +14,20 @@
    * @param echoedHeader - name and value of the attempt's header, which the scheduler's own responses echo;
    *   undefined if the caller did not send it
    * @param isClosing - whether the connection is to be closed after this response
+   * @param hasOtherRequest - whether another request of the connection awaits its response
    */
   constructor (
     private readonly response: ServerResponse,
     private readonly echoedHeader: readonly [string, string] | undefined,
-    private readonly isClosing: () => boolean
+    private readonly isClosing: () => boolean,
+    hasOtherRequest: () => boolean
   ) {
     response.sendDate = false
-    // Node detaches the socket from the response before other listeners of 'finish' run, so it is read here.
-    const { socket } = response
+    // Node attaches the socket to a pipelined response late, and detaches it before other listeners of 'finish' run.
+    const { socket } = response.req
     response.on('finish', () => {
       // A response that started before shutdown carries no "Connection: close" header.
-      if (isClosing()) socket?.end()
+      if (isClosing() && !hasOtherRequest()) socket.end()
     })
   }
 
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -103,11 +103,17 @@
   }
 
   private handleRequest (message: IncomingMessage, rawResponse: ServerResponse): void {
+    // The request crossed the end of its connection, so no response to it could be sent.
+    if (!message.socket.writable) {
+      message.socket.destroy()
+      return
+    }
     const arrivedAt = this.context.clock.now()
     const { headerNames: names } = this.context
     const attemptId = findHeader(message.rawHeaders, names.attemptId)
     const echoedHeader = attemptId === undefined ? undefined : [names.attemptId, attemptId] as const
-    const response = new CallerResponse(rawResponse, echoedHeader, () => this.context.isClosing())
+    const response = new CallerResponse(rawResponse, echoedHeader, () => this.context.isClosing(),
+      () => this.hasOtherRequest(rawResponse))
     this.activeResponses.add(rawResponse)
     rawResponse.on('close', () => this.activeResponses.delete(rawResponse))
     const deployment = this.context.deployment()
@@ -119,6 +125,13 @@
     else this.route(deployment, { message, response, attemptId, arrivedAt, rawResponse })
   }
 
+  /** Whether another request of the same connection awaits its response. */
+  private hasOtherRequest (rawResponse: ServerResponse): boolean {
+    const { socket } = rawResponse.req
+    for (const other of this.activeResponses) if (other !== rawResponse && other.req.socket === socket) return true
+    return false
+  }
+
   /** Delays a request that arrives right after the host's start: the deployment is usually known in milliseconds. */
   private waitForDeployment (request: ReceivedRequest): void {
     const giveUpAt = request.arrivedAt + DEPLOYMENT_WAIT_MS
--- /dev/null
+++ b/test/closing.test.ts
@@ -0,0 +1,73 @@
+import { afterEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { RetrySafety } from '../src/routing/index.js'
+import { deployment, respond, Rig, route, type Script } from './rig.js'
+
+const POST = ['POST /a HTTP/1.1', 'x-attempt: a1']
+
+const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n'
+
+function event (id: number): string {
+  const text = `id: ${id}\ndata: x\n\n`
+  return `${text.length.toString(16)}\r\n${text}\r\n`
+}
+
+function pause (ms: number): Promise<void> {
+  return new Promise(resolve => { setTimeout(resolve, ms) })
+}
+
+/** Streams a response to each request that takes 100 ms. */
+const streamSlowly: Script = (_, __, socket) => {
+  socket.write(HEAD + event(1))
+  setTimeout(() => socket.write(`${event(2)}0\r\n\r\n`), 100)
+}
+
+describe('a stopping host whose response was started before', () => {
+  let rig: Rig
+  afterEach(async () => { await rig.close() })
+
+  // Guards against: a request that arrived while the connection was being closed ran, and its caller got no response.
+  it('does not send on a request that crosses the end of its connection', async () => {
+    const started = await Rig.start(deployment({ routes: [route({ retrySafety: RetrySafety.stream })] }), streamSlowly)
+    rig = started.rig
+    const caller = await rig.connect()
+    caller.send(POST, 'x')
+    await caller.waitFor('id: 1')
+    rig.isClosing = true
+    caller.socket.prependOnceListener('data', () => caller.send(POST, 'y'))
+    await caller.readToEnd()
+    await pause(50)
+    expect(started.servers[0]!.requests.length).toEqual(1)
+  })
+
+  // Guards against: the connection was closed after the first of two pipelined requests, the second had no response.
+  it('responds to a pipelined request before it closes the connection', async () => {
+    const started = await Rig.start(deployment({ routes: [route({ retrySafety: RetrySafety.stream })] }), streamSlowly)
+    rig = started.rig
+    const caller = await rig.connect()
+    caller.send(POST, 'x')
+    await caller.waitFor('id: 1')
+    caller.send(POST, 'y')
+    await pause(30)
+    rig.isClosing = true
+    expect((await caller.readToEnd()).split('0\r\n\r\n').length - 1).toEqual(2)
+  })
+})
+
+describe('a connection whose request does not arrive in time', () => {
+  let rig: Rig
+  const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1 << 20, headerTimeoutMs: 200, idleTimeoutMs: 5_000 }
+  afterEach(async () => { await rig.close() })
+
+  // Guards against: a request ran whose caller had got a final status while its headers were still arriving.
+  it('sends on no request whose headers arrive after the response', async () => {
+    const started = await Rig.start(deployment({ limits }), (_, __, socket) => respond(socket, '200 OK', 'x'))
+    rig = started.rig
+    const caller = await rig.connect()
+    caller.socket.write('POST /a HTTP/1.1\r\nHost: a.example\r\n')
+    caller.socket.once('data', () => caller.socket.write('x-attempt: a1\r\n\r\n'))
+    await caller.readToEnd()
+    await pause(100)
+    expect(started.servers[0]!.requests).toEqual([])
+  })
+})
