Answer a request that does not arrive in time with 408, not 400

Callers whose connection was open for header_timeout_ms before their request arrived, on a loaded or frozen host or with a small limit, got 400 for a proper request, and did not retry. Cause: every error while a request is received was answered with 400, also Node's time-out. Now a connection that has received nothing is closed without a response, and a request that was received in part gets 408, which says that it was not run.

The two new tests of closing.test.ts failed before with 400.

--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { CallerLimits, Deployment } from '../routing/index.js'
 import { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerrequest.js'
@@ -34,6 +35,12 @@
 /** Deadline of requests that state none, in milliseconds after arrival. */
 const DEFAULT_DEADLINE_MS = 60_000
 
+/** Status lines for requests that were not received, by Node's error code; 400 for others. */
+const RECEIVE_FAILURES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+
 /** HTTP server for callers' requests. */
 export class Ingress {
   private readonly server: Server
@@ -48,10 +55,9 @@
       requestTimeout: 0
     }, (message, response) => this.handleRequest(message, response))
     this.server.on('clientError', (error, socket) => {
-      const isTooLong = (error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW'
-      const status = isTooLong ? '431 Request Header Fields Too Large' : '400 Bad Request'
-      if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-      else socket.destroy()
+      const status = RECEIVE_FAILURES[(error as NodeJS.ErrnoException).code ?? ''] ?? '400 Bad Request'
+      if ((socket as Socket).bytesRead === 0 || !socket.writable) socket.destroy()
+      else socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
     })
   }
 
--- a/test/closing.test.ts
+++ b/test/closing.test.ts
@@ -59,7 +59,21 @@
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1 << 20, headerTimeoutMs: 200, idleTimeoutMs: 5_000 }
   afterEach(async () => { await rig.close() })
 
-  // Guards against: a request ran whose caller had got a final status while its headers were still arriving.
+  // Guards against: a caller that opened its connection early got 400 for a proper request.
+  it('is closed without a response if nothing was received', async () => {
+    rig = (await Rig.start(deployment({ limits }))).rig
+    expect(await (await rig.connect()).readToEnd()).toEqual('')
+  })
+
+  // Guards against: a caller whose headers were slow got 400, which says that its request is wrong.
+  it('gets status 408 if part of the headers was received', async () => {
+    rig = (await Rig.start(deployment({ limits }))).rig
+    const caller = await rig.connect()
+    caller.socket.write('POST /a HTTP/1.1\r\nHost: a.example\r\n')
+    expect((await caller.readToEnd()).split('\r\n')[0]).toEqual('HTTP/1.1 408 Request Timeout')
+  })
+
+  // Guards against: a request ran whose caller had got 408 while its headers were still arriving.
   it('sends on no request whose headers arrive after the response', async () => {
     const started = await Rig.start(deployment({ limits }), (_, __, socket) => respond(socket, '200 OK', 'x'))
     rig = started.rig
