Log crashes of backend servers with the prompt parts of their requests

Callers saw requests that share one part of their prompt crash one backend server after the other.

The header that lists the parts of a prompt is now decoded at the edge, and the parts that other requests may share (all but the last) go with the job to the scheduler. The scheduling host logs `server-crashed` with the server, the number of requests whose connections broke and their shared parts; `lost` also names the parts. No decision changes.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -83,13 +83,13 @@
   }
 
   private requestSlot (isRetry: boolean): void {
-    const { request, context } = this
-    const { route } = request
+    const { context, request, request: { route } } = this
     this.delivery = undefined
     this.job = context.dispatcher.request({
       service: this.service,
       route: route.name,
       fingerprint: request.fingerprint,
+      sharedPromptParts: request.sharedPromptParts,
       organisationRank: request.organisation?.rank ?? 0,
       rank: route.rank,
       organisation: request.organisation?.name,
@@ -181,7 +181,8 @@
   private handleLost (delivery: Delivery, outcome: Outcome): void {
     this.mayHaveRun = true
     this.job?.reportEnded(outcome)
-    this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason })
+    const { sharedPromptParts: parts } = this.request
+    this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason, parts })
     this.excludedServers.push(delivery.server.id)
     this.sequencer.discardPartialEvent()
     if (mayRetryAfterExecution(this.request.route) && this.canRetry()) this.requestSlot(true)
@@ -240,8 +241,7 @@
 /** Chooses one of the route's services by weight; `random` is from 0 up to but not including 1. */
 function chooseService (request: CallerRequest, random: number): string {
   const { targets } = request.route
-  const total = targets.reduce((sum, target) => sum + target.weight, 0)
-  let remaining = random * total
+  let remaining = random * targets.reduce((sum, target) => sum + target.weight, 0)
   for (const target of targets) {
     remaining -= target.weight
     if (remaining < 0) return target.service
--- a/src/forward/callerrequest.ts
+++ b/src/forward/callerrequest.ts
@@ -16,6 +16,8 @@
   /** The organisation that the caller's key belongs to; undefined if no key is required. */
   readonly organisation: Organisation | undefined
   readonly promptTokens: number
+  /** Ids of the parts of the prompt that other requests may share. */
+  readonly sharedPromptParts: readonly string[]
   /** Estimated number of tokens in the response. */
   readonly expectedTokens: number
   /** Units of quota that the request uses. */
--- a/src/forward/headernames.ts
+++ b/src/forward/headernames.ts
@@ -16,6 +16,8 @@
   readonly lastEventId: string
   /** Number of prompt tokens and greatest number of output tokens, separated by a comma. */
   readonly tokenUsage: string
+  /** Parts of the prompt in order, as ID:TOKENS entries separated by commas. */
+  readonly promptParts: string
   /** The caller's estimate of the number of tokens in the response. */
   readonly lengthHint: string
   /** Headers that servers accept only from the system itself; they are removed from callers' requests. */
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -6,7 +6,8 @@
 import type { ForwardContext } from './context.js'
 import { findHeader } from './headers.js'
 import {
-  computeFingerprint, estimateOutputTokens, headerBlockBytes, matchRoute, parseTokenUsage, quotaUnits, type RouteMatch
+  computeFingerprint, estimateOutputTokens, headerBlockBytes, matchRoute, parseSharedPromptParts, parseTokenUsage,
+  quotaUnits, type RouteMatch
 } from './requestfields.js'
 import { Status } from './status.js'
 
@@ -211,6 +212,7 @@
       route,
       organisation,
       promptTokens,
+      sharedPromptParts: parseSharedPromptParts(findHeader(headers, names.promptParts)),
       expectedTokens: estimateOutputTokens(maxOutputTokens, findHeader(headers, names.lengthHint)),
       units: quotaUnits(organisation, promptTokens + maxOutputTokens),
       lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
--- a/src/forward/requestfields.ts
+++ b/src/forward/requestfields.ts
@@ -7,6 +7,12 @@
 /** Share of the token limit that a response is expected to use if the caller gives no estimate: lengths vary widely. */
 const DEFAULT_OUTPUT_SHARE = 0.1
 
+/** Number of leading parts of a prompt that are considered. */
+const MAX_PROMPT_PARTS = 32
+
+/** Longest id of a part of a prompt that is considered, in characters. */
+const MAX_PROMPT_PART_ID_LENGTH = 64
+
 /** The route of a request, and the organisation that sent it. */
 export interface RouteMatch {
   readonly route: Route
@@ -49,6 +55,18 @@
   return isValid ? [prompt, output] : [0, 0]
 }
 
+/**
+ * Parses the header that lists the parts of a request's prompt. The last part belongs to the request or its session.
+ *
+ * @param entries - the parts in order, as ID:TOKENS entries separated by commas
+ * @returns the ids of all parts but the last, each once; empty if the header is missing
+ */
+export function parseSharedPromptParts (entries: string | undefined): readonly string[] {
+  const ids = (entries ?? '').split(',').slice(0, -1).slice(0, MAX_PROMPT_PARTS)
+    .map(entry => entry.split(':')[0]!.trim().toLowerCase())
+  return [...new Set(ids)].filter(id => id !== '' && id.length <= MAX_PROMPT_PART_ID_LENGTH)
+}
+
 /**
  * Estimates the length of a response. Callers state a limit, which says little about the actual length, and may add
  * an estimate.
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -73,7 +73,9 @@
       storeClockRead: storeMs => this.migrationController.setStoreClock(storeMs, this.clock.now())
     }, clock, log)
     const { gossip, fleet } = this.directory
-    const scheduler = new Scheduler(settings.limits, settings.isFirstStart)
+    const scheduler = new Scheduler(settings.limits, settings.isFirstStart, {
+      serverCrashed: report => log.info({ event: 'server-crashed', ...report }, 'server-crashed')
+    })
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare())
     this.dispatcher = new Dispatcher(clock, settings.limits.retries)
--- a/src/poison/detector.ts
+++ b/src/poison/detector.ts
@@ -1,4 +1,5 @@
 import { CrashHistory } from './history.js'
+import { type CrashObserver, NO_OBSERVER } from './observer.js'
 
 /** A server lost within this time after a connection to it broke is assumed to have crashed, in milliseconds. */
 const CRASH_WINDOW_MS = 3_000
@@ -12,8 +13,16 @@
 /** Number of requests with a broken connection that are kept in case their server is found lost. */
 const MAX_DISCONNECTED_REQUESTS = 1_024
 
-interface DisconnectedRequest {
+/** What identifies a request when crashes are compared. */
+export interface RequestTraits {
+  /** Equal for requests with the same path, organisation and body. */
   readonly fingerprint: string
+  /** Ids of the parts of the prompt that other requests may share. */
+  readonly sharedPromptParts: readonly string[]
+}
+
+interface DisconnectedRequest {
+  readonly traits: RequestTraits
   readonly server: string
   readonly disconnectedAt: number
 }
@@ -26,15 +35,19 @@
   private readonly history = new CrashHistory(RETENTION_MS, REFUSAL_THRESHOLD)
   private disconnectedRequests: DisconnectedRequest[] = []
 
+  /** @param observer - is told of each crash */
+  constructor (private readonly observer: CrashObserver = NO_OBSERVER) {}
+
   /**
    * Records a request whose connection to its server broke.
    *
-   * @param fingerprint - fingerprint of the request
+   * @param traits - what identifies the request
    * @param server - id of the server that ran it
    * @param now - monotonic time, in milliseconds
    */
-  recordDisconnect (fingerprint: string, server: string, now: number): void {
-    this.disconnectedRequests.push({ fingerprint, server, disconnectedAt: now })
+  recordDisconnect ({ fingerprint, sharedPromptParts }: RequestTraits, server: string, now: number): void {
+    const traits = { fingerprint, sharedPromptParts }
+    this.disconnectedRequests.push({ traits, server, disconnectedAt: now })
     if (this.disconnectedRequests.length > MAX_DISCONNECTED_REQUESTS) this.disconnectedRequests.shift()
   }
 
@@ -49,9 +62,11 @@
     const [ofServer, ofOthers] = [[] as DisconnectedRequest[], [] as DisconnectedRequest[]]
     for (const request of this.disconnectedRequests) (request.server === server ? ofServer : ofOthers).push(request)
     this.disconnectedRequests = ofOthers
-    for (const { fingerprint, disconnectedAt } of ofServer) {
-      if (now - disconnectedAt <= CRASH_WINDOW_MS) this.history.recordCrash(fingerprint, server, now)
-    }
+    const crashed = ofServer.filter(({ disconnectedAt }) => now - disconnectedAt <= CRASH_WINDOW_MS)
+    if (crashed.length === 0) return
+    for (const { traits } of crashed) this.history.recordCrash(traits.fingerprint, server, now)
+    const parts = [...new Set(crashed.flatMap(({ traits }) => traits.sharedPromptParts))]
+    this.observer.serverCrashed({ server, requests: crashed.length, parts })
   }
 
   /**
--- a/src/poison/index.ts
+++ b/src/poison/index.ts
@@ -1,3 +1,4 @@
 /** Detection of poison requests, which crash each server that runs them. */
 export { DEFAULT_REFUSAL_THRESHOLD, CrashHistory } from './history.js'
-export { PoisonDetector } from './detector.js'
+export { PoisonDetector, type RequestTraits } from './detector.js'
+export { type CrashObserver, type CrashReport, NO_OBSERVER } from './observer.js'
--- a/src/schedule/job.ts
+++ b/src/schedule/job.ts
@@ -7,6 +7,8 @@
   readonly route: string
   /** Equal for requests with the same path, organisation and body. */
   readonly fingerprint: string
+  /** Ids of the parts of the prompt that other requests may share; empty for plain services. */
+  readonly sharedPromptParts: readonly string[]
   /** Rank of the organisation, compared before the job's own rank; 0 is the highest. */
   readonly organisationRank: number
   /** The job's own rank; 0 is the highest. */
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -1,5 +1,5 @@
 import type { BackendServer } from '../fleet/index.js'
-import { PoisonDetector } from '../poison/index.js'
+import { type CrashObserver, NO_OBSERVER, PoisonDetector } from '../poison/index.js'
 import type { Organisation } from '../routing/index.js'
 import { UNKNOWN_BALANCE_SHARE } from './quota.js'
 import { type QuotaBalance, Quotas } from './quotas.js'
@@ -9,7 +9,7 @@
 import { ServerLoads } from './loads.js'
 import { Migrations } from './migrations.js'
 import { Outcome } from './outcome.js'
-import { ServiceState } from './servicestate.js'
+import { ServiceStates } from './servicestates.js'
 import { queueTimeoutMs, retryAfterMs } from './timeouts.js'
 
 /** Retry delay for a request that crashes servers, in milliseconds: its crash records have expired by then. */
@@ -22,16 +22,21 @@
 export class Scheduler {
   readonly loads = new ServerLoads()
   readonly migrations: Migrations
-  private readonly services = new Map<string, ServiceState>()
+  private readonly services: ServiceStates
   private readonly quotas: Quotas
-  private readonly crashes = new PoisonDetector()
+  private readonly crashes: PoisonDetector
   private share = 1
 
   /**
    * @param limits - limits on its decisions
    * @param isFirstStart - whether the whole deployment starts for the first time, so that quotas begin full
+   * @param crashObserver - is told of crashes of servers
    */
-  constructor (private readonly limits: ScheduleLimits, isFirstStart = false) {
+  constructor (
+    limits: ScheduleLimits, isFirstStart = false, crashObserver: CrashObserver = NO_OBSERVER
+  ) {
+    this.crashes = new PoisonDetector(crashObserver)
+    this.services = new ServiceStates(limits.retries)
     this.migrations = new Migrations(limits.canaryExposure)
     this.quotas = new Quotas(limits.quotaOvershoot, isFirstStart ? 1 : UNKNOWN_BALANCE_SHARE)
   }
@@ -79,7 +84,7 @@
     if (this.crashes.isPoison(job.fingerprint, now)) {
       return [this.refuse(job, Refusal.crashes, CRASH_RETRY_AFTER_MS, now)]
     }
-    const state = this.stateOf(job.service)
+    const state = this.services.get(job.service)
     if (job.isRetry && !state.retryBudget.take(this.share, now)) return [this.refuse(job, Refusal.retryBudget, 0, now)]
     if (!job.isCharged) {
       const waitMs = this.quotas.take(job.organisation, job.units, job.rank, now)
@@ -134,7 +139,7 @@
     const load = this.loads.get(server)
     if (load === undefined) return []
     const run = load.running.get(jobId)
-    if (run !== undefined && outcome === Outcome.broken) this.crashes.recordDisconnect(run.job.fingerprint, server, now)
+    if (run !== undefined && outcome === Outcome.broken) this.crashes.recordDisconnect(run.job, server, now)
     if (run !== undefined) this.migrations.recordOutcome(load.server, run, outcome, stepMs, now)
     if (outcome === Outcome.unreachable) this.crashes.recordServerLoss(server, now)
     load.removeJob(jobId, outcome, stepMs, now)
@@ -149,7 +154,7 @@
    * @param now - monotonic time, in milliseconds
    */
   withdraw (jobId: string, service: string, now: number): void {
-    const job = this.services.get(service)?.queue.remove(jobId)
+    const job = this.services.find(service)?.queue.remove(jobId)
     if (job !== undefined) this.refund(job, now)
   }
 
@@ -160,9 +165,7 @@
    */
   dropJobs (isGone: (id: string) => boolean): void {
     this.loads.dropJobs(isGone)
-    for (const { queue } of this.services.values()) {
-      for (const job of queue.list(0)) if (isGone(job.id)) queue.remove(job.id)
-    }
+    this.services.dropJobs(isGone)
   }
 
   /**
@@ -172,7 +175,7 @@
    * @returns decisions on queued jobs
    */
   tick (now: number): Effect[] {
-    return [...this.services.keys()].flatMap(service => this.schedule(service, now))
+    return this.services.names.flatMap(service => this.schedule(service, now))
   }
 
   /**
@@ -187,9 +190,7 @@
 
   /** Number of queued jobs of all services. */
   get queueLength (): number {
-    let count = 0
-    for (const { queue } of this.services.values()) count += queue.size
-    return count
+    return this.services.queueLength
   }
 
   /** @returns the state, for a dump */
@@ -197,14 +198,14 @@
     return {
       part: this.share,
       moves: this.migrations.dump(),
-      waiting: [...this.services].map(([service, state]) => ({ service, jobs: state.queue.size })),
+      waiting: this.services.dump(),
       servers: this.loads.dump()
     }
   }
 
   /** Grants free slots in queue order and refuses jobs whose queue timeout has passed. */
   private schedule (service: string, now: number): Effect[] {
-    const state = this.services.get(service)
+    const state = this.services.find(service)
     if (state === undefined || state.queue.size === 0) return []
     const loads = this.loads.forService(service)
     const effects: Effect[] = []
@@ -238,13 +239,4 @@
   private refund (job: Job, now: number): void {
     if (!job.isCharged) this.quotas.refund(job.organisation, job.units, now)
   }
-
-  private stateOf (service: string): ServiceState {
-    let state = this.services.get(service)
-    if (state === undefined) {
-      state = new ServiceState(this.limits.retries)
-      this.services.set(service, state)
-    }
-    return state
-  }
 }
--- a/test/jobs.ts
+++ b/test/jobs.ts
@@ -14,6 +14,7 @@
     service: 's',
     route: 'r',
     fingerprint: id,
+    sharedPromptParts: [],
     organisationRank: 0,
     rank: 1,
     organisation: undefined,
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -17,6 +17,7 @@
   notRun: 'x-not-run',
   lastEventId: 'x-last-event',
   tokenUsage: 'x-usage',
+  promptParts: 'x-parts',
   lengthHint: 'x-length-hint',
   reserved: ['x-reserved']
 }
