Refuse requests that share a prompt part under which servers crashed

Crashes were counted by the fingerprint of a request, which includes its body. These requests have unlike bodies, so that none ever counted three.

A crash now also accuses each shared prompt part of the requests that it interrupted, and a complete response clears the parts of its request, which a part that crashes every server never gets. A part is blocked at the third crash if no other part without complete responses was present at the same crashes; otherwise, or if it was sound before, at the fifth. A blocked part explains further crashes, which then accuse no other part. A complete response of a request that is still running, or a response of a server that was assumed crashed, unblocks it. Requests with an accused part that never had a complete response run one at a time. Queued requests with a blocked part are refused at once.

A response with a redirection or a 4xx status no longer ends a job as `done` but as `declined`, which clears no part; health and migrations treat both alike.

`are refused after three crashes under unlike requests with the part` and `are refused while they are queued` failed before and pass now. The latter looked for the refusal among the effects of the next tick; it is an effect of the server's loss already, where the test looks now. It fails on the old code as before.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -144,7 +144,7 @@
   private handleDeliveryEnd (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
     if (this.isFinished) return
     if (delivery.wasSent) this.sendCount++
-    if (outcome === Outcome.done) this.complete(delivery, result)
+    if (outcome === Outcome.done || outcome === Outcome.declined) this.complete(delivery, outcome, result)
     else if (outcome === Outcome.rejected || outcome === Outcome.misdirected || outcome === Outcome.unreachable) {
       this.handleNotRun(delivery, outcome)
     } else if (outcome === Outcome.unsendable) {
@@ -160,8 +160,8 @@
     }
   }
 
-  private complete (delivery: Delivery, result: BufferedResponse | undefined): void {
-    this.job?.reportEnded(Outcome.done, delivery.stepMs)
+  private complete (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
+    this.job?.reportEnded(outcome, delivery.stepMs)
     if (result === undefined) this.response.end()
     else this.response.send(result.status, result.headers, result.body, result.isCloseDelimited)
     this.log('answered', { ...delivery.logFields, ms: Math.round(this.context.clock.now() - this.request.arrivedAt) })
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -189,7 +189,8 @@
   private classifyResponse (): Outcome {
     if (this.status === Status.misdirected) return Outcome.misdirected
     if (findHeader(this.headers, this.context.headerNames.notRun) !== undefined) return Outcome.rejected
-    return this.status >= Status.serverError ? Outcome.failed : Outcome.done
+    if (this.status >= Status.serverError) return Outcome.failed
+    return this.status >= Status.redirection ? Outcome.declined : Outcome.done
   }
 
   /** @returns whether to continue reading at once */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import type { Deployment } from '../routing/index.js'
 import { Scheduler } from '../schedule/index.js'
 import { MemberEvictor } from './memberevictor.js'
+import { CrashLog } from './crashlog.js'
 import { Directory } from './directory.js'
 import { computeIdleLimits } from './idlelimits.js'
 import { MigrationController } from './migrationcontroller.js'
@@ -73,9 +74,7 @@
       storeClockRead: storeMs => this.migrationController.setStoreClock(storeMs, this.clock.now())
     }, clock, log)
     const { gossip, fleet } = this.directory
-    const scheduler = new Scheduler(settings.limits, settings.isFirstStart, {
-      serverCrashed: report => log.info({ event: 'server-crashed', ...report }, 'server-crashed')
-    })
+    const scheduler = new Scheduler(settings.limits, settings.isFirstStart, new CrashLog(log))
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare())
     this.dispatcher = new Dispatcher(clock, settings.limits.retries)
--- a/src/poison/detector.ts
+++ b/src/poison/detector.ts
@@ -1,5 +1,6 @@
 import { CrashHistory } from './history.js'
 import { type CrashObserver, NO_OBSERVER } from './observer.js'
+import { PartHistory } from './parthistory.js'
 
 /** A server lost within this time after a connection to it broke is assumed to have crashed, in milliseconds. */
 const CRASH_WINDOW_MS = 3_000
@@ -28,25 +29,25 @@
 }
 
 /**
- * Detects requests that crash servers. A broken connection alone is no evidence of a crash: the server must be lost
- * right after it.
+ * Detects requests that crash servers, alike or with a common prompt part. A broken connection alone is no evidence of
+ * a crash: the server must be lost right after it. Servers are identified by incarnation.
  */
 export class PoisonDetector {
   private readonly history = new CrashHistory(RETENTION_MS, REFUSAL_THRESHOLD)
+  private readonly parts = new PartHistory()
   private disconnectedRequests: DisconnectedRequest[] = []
 
-  /** @param observer - is told of each crash */
+  /** @param observer - is told of each crash and each blocked part */
   constructor (private readonly observer: CrashObserver = NO_OBSERVER) {}
 
   /**
    * Records a request whose connection to its server broke.
    *
    * @param traits - what identifies the request
-   * @param server - id of the server that ran it
+   * @param server - incarnation of the server that ran it
    * @param now - monotonic time, in milliseconds
    */
-  recordDisconnect ({ fingerprint, sharedPromptParts }: RequestTraits, server: string, now: number): void {
-    const traits = { fingerprint, sharedPromptParts }
+  recordDisconnect (traits: RequestTraits, server: string, now: number): void {
     this.disconnectedRequests.push({ traits, server, disconnectedAt: now })
     if (this.disconnectedRequests.length > MAX_DISCONNECTED_REQUESTS) this.disconnectedRequests.shift()
   }
@@ -55,26 +56,70 @@
    * Records that a server is unreachable or was restarted, and attributes the crash to the requests whose connections
    * to it broke shortly before.
    *
-   * @param server - id of the server
+   * @param server - incarnation of the server
    * @param now - monotonic time, in milliseconds
    */
   recordServerLoss (server: string, now: number): void {
     const [ofServer, ofOthers] = [[] as DisconnectedRequest[], [] as DisconnectedRequest[]]
     for (const request of this.disconnectedRequests) (request.server === server ? ofServer : ofOthers).push(request)
     this.disconnectedRequests = ofOthers
-    const crashed = ofServer.filter(({ disconnectedAt }) => now - disconnectedAt <= CRASH_WINDOW_MS)
-    if (crashed.length === 0) return
-    for (const { traits } of crashed) this.history.recordCrash(traits.fingerprint, server, now)
-    const parts = [...new Set(crashed.flatMap(({ traits }) => traits.sharedPromptParts))]
-    this.observer.serverCrashed({ server, requests: crashed.length, parts })
+    const requests = ofServer.filter(({ disconnectedAt }) => now - disconnectedAt <= CRASH_WINDOW_MS)
+    if (requests.length > 0) this.recordCrash(server, requests.map(({ traits }) => traits), now)
   }
 
   /**
-   * @param fingerprint - fingerprint of a request
+   * Records that a server sent a part of a response, so that it has not crashed.
+   *
+   * @param server - incarnation of the server
+   * @param now - monotonic time, in milliseconds
+   */
+  recordResponse (server: string, now: number): void {
+    this.reportUnblocked(this.parts.recordResponse(server, now))
+  }
+
+  /**
+   * Records a complete response, which clears the prompt parts of its request.
+   *
+   * @param traits - what identifies the request
+   */
+  recordCompletion ({ sharedPromptParts }: RequestTraits): void {
+    if (sharedPromptParts.length > 0) this.reportUnblocked(this.parts.recordCompletion(sharedPromptParts))
+  }
+
+  /**
+   * @param traits - what identifies a request
    * @param now - monotonic time, in milliseconds
-   * @returns whether the request crashed so many servers that it must be refused
+   * @returns whether the request, or others with one of its prompt parts, crashed so many servers that it is refused
+   */
+  isPoison ({ fingerprint, sharedPromptParts }: RequestTraits, now: number): boolean {
+    return this.history.isPoison(fingerprint, now) || this.parts.isBlocked(sharedPromptParts, now)
+  }
+
+  /**
+   * @param traits - what identifies a request
+   * @returns the prompt parts that may have crashed a server; requests with them are to be run one at a time
    */
-  isPoison (fingerprint: string, now: number): boolean {
-    return this.history.isPoison(fingerprint, now)
+  suspectParts ({ sharedPromptParts }: RequestTraits): string[] {
+    return sharedPromptParts.filter(part => this.parts.isSuspect(part))
+  }
+
+  /** @returns the crashes and blocked prompt parts, for a dump */
+  dump (): unknown {
+    return this.parts.dump()
+  }
+
+  private recordCrash (server: string, requests: readonly RequestTraits[], now: number): void {
+    const parts = [...new Set(requests.flatMap(traits => traits.sharedPromptParts))]
+    this.observer.serverCrashed({ server, requests: requests.length, parts })
+    if (!this.parts.isBlocked(parts, now)) {
+      for (const { fingerprint } of requests) this.history.recordCrash(fingerprint, server, now)
+    }
+    // A request that crashes servers by itself does not accuse its prompt parts.
+    if (requests.some(({ fingerprint }) => this.history.isPoison(fingerprint, now))) return
+    for (const part of this.parts.recordCrash(server, parts, now)) this.observer.partBlocked(part)
+  }
+
+  private reportUnblocked (parts: readonly string[]): void {
+    for (const part of parts) this.observer.partUnblocked(part)
   }
 }
--- a/src/poison/observer.ts
+++ b/src/poison/observer.ts
@@ -1,6 +1,6 @@
 /** What a crash is attributed to: the requests that ran on the server and broke. */
 export interface CrashReport {
-  /** Id of the server that crashed. */
+  /** Incarnation of the server that crashed. */
   readonly server: string
   /** Number of requests whose connection broke. */
   readonly requests: number
@@ -12,7 +12,15 @@
 export interface CrashObserver {
   /** @param report - a crash and what it is attributed to */
   serverCrashed (report: CrashReport): void
+  /** @param part - a prompt part whose requests are refused from now on */
+  partBlocked (part: string): void
+  /** @param part - a prompt part that was blocked and turned out to be sound */
+  partUnblocked (part: string): void
 }
 
 /** Ignores all conclusions. */
-export const NO_OBSERVER: CrashObserver = { serverCrashed: () => undefined }
+export const NO_OBSERVER: CrashObserver = {
+  serverCrashed: () => undefined,
+  partBlocked: () => undefined,
+  partUnblocked: () => undefined
+}
--- a/src/schedule/health.ts
+++ b/src/schedule/health.ts
@@ -31,7 +31,7 @@
    * @param now - monotonic time, in milliseconds
    */
   recordOutcome (outcome: Outcome, now: number): void {
-    if (outcome === Outcome.done) {
+    if (outcome === Outcome.done || outcome === Outcome.declined) {
       this.consecutiveFailures = 0
       this.updateFailureRate(0, now)
     } else if (outcome === Outcome.failed) {
--- a/src/schedule/outcome.ts
+++ b/src/schedule/outcome.ts
@@ -2,6 +2,8 @@
 export const Outcome = {
   /** The response was received completely. */
   done: 'done',
+  /** The server responded completely with a redirection or an error of the caller. */
+  declined: 'declined',
   /** The server responded with an error of its own. */
   failed: 'failed',
   /** The server reported that it did not run the request. */
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -1,19 +1,17 @@
 import type { BackendServer } from '../fleet/index.js'
-import { type CrashObserver, NO_OBSERVER, PoisonDetector } from '../poison/index.js'
+import { type CrashObserver, NO_OBSERVER } from '../poison/index.js'
 import type { Organisation } from '../routing/index.js'
 import { UNKNOWN_BALANCE_SHARE } from './quota.js'
 import { type QuotaBalance, Quotas } from './quotas.js'
 import type { ScheduleLimits } from './limits.js'
+import { CrashMonitor } from './crashmonitor.js'
 import { type Effect, Refusal } from './effect.js'
 import type { Job } from './job.js'
 import { ServerLoads } from './loads.js'
 import { Migrations } from './migrations.js'
-import { Outcome } from './outcome.js'
+import type { Outcome } from './outcome.js'
 import { ServiceStates } from './servicestates.js'
-import { queueTimeoutMs, retryAfterMs } from './timeouts.js'
-
-/** Retry delay for a request that crashes servers, in milliseconds: its crash records have expired by then. */
-const CRASH_RETRY_AFTER_MS = 120_000
+import { CRASH_RETRY_AFTER_MS, queueTimeoutMs, retryAfterMs } from './timeouts.js'
 
 /**
  * Decides which server each job gets and when. Performs no input or output; the time is passed in. The state is kept
@@ -24,7 +22,7 @@
   readonly migrations: Migrations
   private readonly services: ServiceStates
   private readonly quotas: Quotas
-  private readonly crashes: PoisonDetector
+  private readonly crashes: CrashMonitor
   private share = 1
 
   /**
@@ -35,7 +33,7 @@
   constructor (
     limits: ScheduleLimits, isFirstStart = false, crashObserver: CrashObserver = NO_OBSERVER
   ) {
-    this.crashes = new PoisonDetector(crashObserver)
+    this.crashes = new CrashMonitor(crashObserver)
     this.services = new ServiceStates(limits.retries)
     this.migrations = new Migrations(limits.canaryExposure)
     this.quotas = new Quotas(limits.quotaOvershoot, isFirstStart ? 1 : UNKNOWN_BALANCE_SHARE)
@@ -81,8 +79,8 @@
    * @returns decisions on this job and perhaps on others
    */
   submit (job: Job, now: number): Effect[] {
-    if (this.crashes.isPoison(job.fingerprint, now)) {
-      return [this.refuse(job, Refusal.crashes, CRASH_RETRY_AFTER_MS, now)]
+    if (this.crashes.isPoison(job, now)) {
+      return [{ kind: 'refuse', job: job.id, reason: Refusal.crashes, retryAfterMs: CRASH_RETRY_AFTER_MS }]
     }
     const state = this.services.get(job.service)
     if (job.isRetry && !state.retryBudget.take(this.share, now)) return [this.refuse(job, Refusal.retryBudget, 0, now)]
@@ -108,6 +106,7 @@
     if (load === undefined) return
     load.addJob(job, now)
     this.migrations.recordGrant(job, load.server)
+    this.crashes.recordGrant(job, load.server, hasStarted)
     if (hasStarted) load.running.get(job.id)!.firstEventAt = now
   }
 
@@ -120,6 +119,7 @@
    * @returns decisions on queued jobs
    */
   recordFirstEvent (jobId: string, server: string, now: number): Effect[] {
+    this.crashes.recordFirstEvent(jobId, now)
     const load = this.loads.get(server)
     load?.recordFirstEvent(jobId, now)
     return load === undefined ? [] : this.schedule(load.server.service, now)
@@ -136,12 +136,11 @@
    * @returns decisions on queued jobs
    */
   recordEnd (jobId: string, server: string, outcome: Outcome, stepMs: number | undefined, now: number): Effect[] {
+    this.crashes.recordEnd(jobId, outcome, now)
     const load = this.loads.get(server)
     if (load === undefined) return []
     const run = load.running.get(jobId)
-    if (run !== undefined && outcome === Outcome.broken) this.crashes.recordDisconnect(run.job, server, now)
     if (run !== undefined) this.migrations.recordOutcome(load.server, run, outcome, stepMs, now)
-    if (outcome === Outcome.unreachable) this.crashes.recordServerLoss(server, now)
     load.removeJob(jobId, outcome, stepMs, now)
     return this.schedule(load.server.service, now)
   }
@@ -165,6 +164,7 @@
    */
   dropJobs (isGone: (id: string) => boolean): void {
     this.loads.dropJobs(isGone)
+    this.crashes.dropJobs(isGone)
     this.services.dropJobs(isGone)
   }
 
@@ -197,6 +197,7 @@
   dump (): unknown {
     return {
       part: this.share,
+      crashes: this.crashes.dump(),
       moves: this.migrations.dump(),
       waiting: this.services.dump(),
       servers: this.loads.dump()
@@ -212,11 +213,17 @@
     this.migrations.getLatest(service, now)
     let available = loads.filter(load => load.freeSlots(this.share, now) > 0)
     for (const job of state.queue.list(now, rank => state.grantRates.isUnderserved(rank, now))) {
-      const load = this.migrations.chooseServer(loads, available, job, now)
+      if (this.crashes.isPoison(job, now)) {
+        state.queue.remove(job.id)
+        effects.push(this.refuse(job, Refusal.crashes, CRASH_RETRY_AFTER_MS, now))
+        continue
+      }
+      const load = this.crashes.mustWait(job) ? undefined : this.migrations.chooseServer(loads, available, job, now)
       if (load !== undefined) {
         state.queue.remove(job.id)
         load.addJob(job, now)
         this.migrations.recordGrant(job, load.server)
+        this.crashes.recordGrant(job, load.server)
         state.grantRates.recordResult(job.rank, true, now)
         available = available.filter(each => each !== load || each.freeSlots(this.share, now) > 0)
         const level = this.quotas.balanceShare(job.organisation)
@@ -232,7 +239,7 @@
   }
 
   private refuse (job: Job, reason: Refusal, delayMs: number, now: number): Effect {
-    if (reason !== Refusal.crashes) this.refund(job, now)
+    this.refund(job, now)
     return { kind: 'refuse', job: job.id, reason, retryAfterMs: delayMs }
   }
 
--- a/src/schedule/timeouts.ts
+++ b/src/schedule/timeouts.ts
@@ -1,5 +1,8 @@
 import type { Job } from './job.js'
 
+/** Retry delay for a request that crashes servers, in milliseconds. */
+export const CRASH_RETRY_AFTER_MS = 120_000
+
 /** Queue timeout of jobs below the highest rank, as a share of the latency objective. */
 const LOWER_RANK_OBJECTIVE_SHARE = 0.5
 
--- a/test/promptparts.test.ts
+++ b/test/promptparts.test.ts
@@ -22,8 +22,8 @@
   return effects.flatMap(effect => effect.kind === 'refuse' && effect.reason === Refusal.crashes ? [effect.job] : [])
 }
 
-/** Grants a request for each list of parts at a server, which crashes; then a connection to it is refused. */
-function crash (scheduler: Scheduler, serverId: string, now: number, ...partLists: string[][]): void {
+/** Grants a request for each list of parts at a server, which crashes, and returns the effects of the loss. */
+function crash (scheduler: Scheduler, serverId: string, now: number, ...partLists: string[][]): Effect[] {
   const ids = partLists.map((_, index) => `${serverId}-${index}`)
   const excludedServers = ['a', 'b', 'c', 'd', 'e', 'f'].filter(id => id !== serverId)
   partLists.forEach((sharedPromptParts, index) => {
@@ -32,7 +32,7 @@
   const lastId = `${serverId}-last`
   scheduler.submit(job(lastId, { excludedServers, arrivedAt: now }), now)
   for (const id of ids) scheduler.recordEnd(id, serverId, Outcome.broken, undefined, now + 10)
-  scheduler.recordEnd(lastId, serverId, Outcome.unreachable, undefined, now + 20)
+  return scheduler.recordEnd(lastId, serverId, Outcome.unreachable, undefined, now + 20)
 }
 
 /** Runs a request to its end at another server. */
@@ -62,8 +62,7 @@
     const excludedServers = ['a', 'b', 'c']
     scheduler.submit(job('busy', { excludedServers, arrivedAt: now }), now)
     scheduler.submit(job('queued', { sharedPromptParts: ['y', 'bad'], excludedServers, arrivedAt: now }), now)
-    crash(scheduler, 'c', now + 10, ['x3', 'bad'])
-    expect(refusals(scheduler.tick(now + 60))).toEqual(['queued'])
+    expect(refusals(crash(scheduler, 'c', now + 10, ['x3', 'bad']))).toEqual(['queued'])
   })
 
   // Guards against crashes that go unnoticed because the server returns under another id and nothing was sent to it.
