Recognise a crashed server without a refused connection

Callers saw requests with one common prompt part crash one backend server after the other. A crash counted only if a connection to the server was refused within 3 s of the broken one. Misdirected requests, which reach the next server at the address, did not count either, nor did jobs on a server that was no longer listed.

The scheduler now follows running jobs apart from the list of servers, by incarnation. A server to which a connection broke within 8 s is lost if a connection is refused, another server responds at its address, its entry is removed or replaced and no job runs there, or the connections of at least two jobs, and of all that ran there, break within 250 ms. A later response of the server shows that connections merely broke. Requests with an accused part wait until it is known why a connection of one of them broke.

--- a/src/poison/detector.ts
+++ b/src/poison/detector.ts
@@ -1,9 +1,15 @@
 import { CrashHistory } from './history.js'
 import { type CrashObserver, NO_OBSERVER } from './observer.js'
-import { PartHistory } from './parthistory.js'
+import { PartHistory, REPORT_DELAY_MS } from './parthistory.js'
 
-/** A server lost within this time after a connection to it broke is assumed to have crashed, in milliseconds. */
-const CRASH_WINDOW_MS = 3_000
+/**
+ * A server lost within this time after a connection to it broke is assumed to have crashed, in milliseconds. Longer
+ * than the entry of a crashed server remains in the store.
+ */
+const CRASH_WINDOW_MS = 8_000
+
+/** Connections to a server that break within this time are assumed to break together, in milliseconds. */
+const JOINT_BREAK_MS = 250
 
 /** How long a crash counts against a request, in milliseconds. */
 const RETENTION_MS = 120_000
@@ -25,6 +31,7 @@
 interface DisconnectedRequest {
   readonly traits: RequestTraits
   readonly server: string
+  readonly grantedAt: number
   readonly disconnectedAt: number
 }
 
@@ -45,15 +52,16 @@
    *
    * @param traits - what identifies the request
    * @param server - incarnation of the server that ran it
+   * @param grantedAt - when it was granted the server, monotonic time in milliseconds
    * @param now - monotonic time, in milliseconds
    */
-  recordDisconnect (traits: RequestTraits, server: string, now: number): void {
-    this.disconnectedRequests.push({ traits, server, disconnectedAt: now })
+  recordDisconnect (traits: RequestTraits, server: string, grantedAt: number, now: number): void {
+    this.disconnectedRequests.push({ traits, server, grantedAt, disconnectedAt: now })
     if (this.disconnectedRequests.length > MAX_DISCONNECTED_REQUESTS) this.disconnectedRequests.shift()
   }
 
   /**
-   * Records that a server is unreachable or was restarted, and attributes the crash to the requests whose connections
+   * Records that a server is lost, and attributes the crash to the requests whose connections
    * to it broke shortly before.
    *
    * @param server - incarnation of the server
@@ -67,6 +75,41 @@
     if (requests.length > 0) this.recordCrash(server, requests.map(({ traits }) => traits), now)
   }
 
+  /**
+   * Finds the servers to which connections broke a short time ago.
+   *
+   * @param now - monotonic time, in milliseconds
+   * @returns the incarnations of those that are not known to be lost
+   */
+  disconnectedServers (now: number): Set<string> {
+    if (this.disconnectedRequests.length === 0) return new Set()
+    this.disconnectedRequests = this.disconnectedRequests.filter(each => now - each.disconnectedAt <= CRASH_WINDOW_MS)
+    return new Set(this.disconnectedRequests.map(({ server }) => server))
+  }
+
+  /**
+   * Finds out whether several connections to a server broke together.
+   *
+   * @param server - incarnation of the server
+   * @param now - monotonic time, in milliseconds
+   * @returns the time of the first break, or undefined if fewer than two requests that ran at that time broke
+   */
+  jointBreakAt (server: string, now: number): number | undefined {
+    const broken = this.disconnectedRequests.filter(each => {
+      return each.server === server && now - each.disconnectedAt <= JOINT_BREAK_MS
+    })
+    const firstAt = Math.min(...broken.map(({ disconnectedAt }) => disconnectedAt))
+    return broken.filter(({ grantedAt }) => grantedAt < firstAt).length < 2 ? undefined : firstAt
+  }
+
+  /**
+   * @param parts - prompt parts
+   * @returns whether the connection of a request with one of them broke, and it is not known yet why
+   */
+  isUnresolved (parts: readonly string[]): boolean {
+    return this.disconnectedRequests.some(({ traits }) => traits.sharedPromptParts.some(part => parts.includes(part)))
+  }
+
   /**
    * Records that a server sent a part of a response, so that it has not crashed.
    *
@@ -74,6 +117,9 @@
    * @param now - monotonic time, in milliseconds
    */
   recordResponse (server: string, now: number): void {
+    this.disconnectedRequests = this.disconnectedRequests.filter(request => {
+      return request.server !== server || now - request.disconnectedAt <= REPORT_DELAY_MS
+    })
     this.reportUnblocked(this.parts.recordResponse(server, now))
   }
 
--- a/src/poison/parthistory.ts
+++ b/src/poison/parthistory.ts
@@ -10,7 +10,7 @@
 const RETENTION_MS = 24 * 3_600_000
 
 /** Longest time between an event at a server and its report by the slowest host, in milliseconds. */
-const REPORT_DELAY_MS = 300
+export const REPORT_DELAY_MS = 300
 
 /** Greatest number of crashes, and of blocked parts, that are kept. */
 const MAX_ENTRIES = 256
@@ -40,6 +40,7 @@
   recordCrash (server: string, parts: readonly string[], now: number): string[] {
     this.expire(now)
     const known = this.crashes.find(crash => crash.server === server)
+    if ([...this.blocked.values()].some(({ servers }) => servers.has(server))) return []
     const explanations = parts.filter(part => this.blocked.has(part))
     if (explanations.length > 0) {
       for (const part of explanations) this.blocked.get(part)!.servers.add(server)
--- a/src/schedule/crashmonitor.ts
+++ b/src/schedule/crashmonitor.ts
@@ -13,6 +13,7 @@
   readonly job: Job
   /** Incarnation of the server. */
   readonly server: string
+  readonly grantedAt: number
   hasStarted: boolean
 }
 
@@ -20,21 +21,42 @@
 export class CrashMonitor {
   private readonly runs = new Map<string, Run>()
   private readonly detector: PoisonDetector
+  /** Incarnations of the servers that may get requests. */
+  private listedServers: ReadonlySet<string> = new Set()
 
   /** @param observer - is told of crashes and of blocked prompt parts */
   constructor (observer: CrashObserver) {
     this.detector = new PoisonDetector(observer)
   }
 
+  /** @param servers - all servers that may get requests */
+  setServers (servers: readonly BackendServer[]): void {
+    this.listedServers = new Set(servers.map(formatIncarnation))
+  }
+
+  /**
+   * Detects servers that are lost though no connection to them was refused: they are no longer listed, or another
+   * incarnation is, and no job runs on them.
+   *
+   * @param now - monotonic time, in milliseconds
+   */
+  detectLosses (now: number): void {
+    for (const server of this.detector.disconnectedServers(now)) {
+      if (this.listedServers.has(server) || this.isRunning(run => run.server === server)) continue
+      this.detector.recordServerLoss(server, now)
+    }
+  }
+
   /**
    * Records that a server runs a job.
    *
    * @param job - the job
    * @param server - the server
+   * @param now - monotonic time, in milliseconds
    * @param hasStarted - whether its first event arrived
    */
-  recordGrant (job: Job, server: BackendServer, hasStarted = false): void {
-    this.runs.set(job.id, { job, server: `${server.id}/${server.born}`, hasStarted })
+  recordGrant (job: Job, server: BackendServer, now: number, hasStarted = false): void {
+    this.runs.set(job.id, { job, server: formatIncarnation(server), grantedAt: now, hasStarted })
   }
 
   /**
@@ -61,7 +83,7 @@
     const run = this.runs.get(jobId)
     if (run === undefined) return
     this.runs.delete(jobId)
-    if (outcome === Outcome.broken) this.detector.recordDisconnect(run.job, run.server, now)
+    if (outcome === Outcome.broken) this.recordDisconnect(run, now)
     if (SERVER_LOSSES.has(outcome)) this.detector.recordServerLoss(run.server, now)
     if (RESPONSES.has(outcome)) this.detector.recordResponse(run.server, now)
     if (outcome === Outcome.done && run.hasStarted) this.detector.recordCompletion(run.job)
@@ -86,19 +108,34 @@
    * crashes are attributed to the part.
    *
    * @param job - a queued job
-   * @returns whether it must wait for the end of a running job with the same part
+   * @returns whether it must wait until a job with the same part has ended, and it is known why
    */
   mustWait (job: Job): boolean {
     const suspects = this.detector.suspectParts(job)
     if (suspects.length === 0) return false
-    for (const run of this.runs.values()) {
-      if (run.job.sharedPromptParts.some(part => suspects.includes(part))) return true
-    }
-    return false
+    return this.detector.isUnresolved(suspects) ||
+      this.isRunning(run => run.job.sharedPromptParts.some(part => suspects.includes(part)))
   }
 
   /** @returns the crashes and blocked prompt parts, for a dump */
   dump (): unknown {
     return this.detector.dump()
   }
+
+  /** A server is lost if the connections of all its jobs break together, even if its entry remains for some time. */
+  private recordDisconnect ({ job, server, grantedAt }: Run, now: number): void {
+    this.detector.recordDisconnect(job, server, grantedAt, now)
+    const breakAt = this.detector.jointBreakAt(server, now)
+    if (breakAt === undefined || this.isRunning(run => run.server === server && run.grantedAt < breakAt)) return
+    this.detector.recordServerLoss(server, now)
+  }
+
+  private isRunning (matches: (run: Run) => boolean): boolean {
+    for (const run of this.runs.values()) if (matches(run)) return true
+    return false
+  }
+}
+
+function formatIncarnation ({ id, born }: BackendServer): string {
+  return `${id}/${born}`
 }
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -30,9 +30,7 @@
    * @param isFirstStart - whether the whole deployment starts for the first time, so that quotas begin full
    * @param crashObserver - is told of crashes of servers
    */
-  constructor (
-    limits: ScheduleLimits, isFirstStart = false, crashObserver: CrashObserver = NO_OBSERVER
-  ) {
+  constructor (limits: ScheduleLimits, isFirstStart = false, crashObserver: CrashObserver = NO_OBSERVER) {
     this.crashes = new CrashMonitor(crashObserver)
     this.services = new ServiceStates(limits.retries)
     this.migrations = new Migrations(limits.canaryExposure)
@@ -47,6 +45,7 @@
    */
   setServers (servers: readonly BackendServer[]): void {
     this.loads.setServers(servers)
+    this.crashes.setServers(servers)
   }
 
   /**
@@ -106,7 +105,7 @@
     if (load === undefined) return
     load.addJob(job, now)
     this.migrations.recordGrant(job, load.server)
-    this.crashes.recordGrant(job, load.server, hasStarted)
+    this.crashes.recordGrant(job, load.server, now, hasStarted)
     if (hasStarted) load.running.get(job.id)!.firstEventAt = now
   }
 
@@ -206,6 +205,7 @@
 
   /** Grants free slots in queue order and refuses jobs whose queue timeout has passed. */
   private schedule (service: string, now: number): Effect[] {
+    this.crashes.detectLosses(now)
     const state = this.services.find(service)
     if (state === undefined || state.queue.size === 0) return []
     const loads = this.loads.forService(service)
@@ -223,7 +223,7 @@
         state.queue.remove(job.id)
         load.addJob(job, now)
         this.migrations.recordGrant(job, load.server)
-        this.crashes.recordGrant(job, load.server)
+        this.crashes.recordGrant(job, load.server, now)
         state.grantRates.recordResult(job.rank, true, now)
         available = available.filter(each => each !== load || each.freeSlots(this.share, now) > 0)
         const level = this.quotas.balanceShare(job.organisation)
--- a/test/parthistory.test.ts
+++ b/test/parthistory.test.ts
@@ -49,6 +49,13 @@
     expect(crash(history, 2, ['rare'], 20)).toEqual([])
   })
 
+  it('accuses no part of requests that are reported after their crash was explained', () => {
+    const history = new PartHistory()
+    crash(history, 3, ['bad'])
+    expect(crash(history, 3, ['late'])).toEqual([])
+    expect(history.isBlocked(['late'], 9)).toEqual(false)
+  })
+
   it('unblocks a part after a complete response', () => {
     const history = new PartHistory()
     crash(history, 3, ['a'])
--- a/test/promptparts.test.ts
+++ b/test/promptparts.test.ts
@@ -81,6 +81,46 @@
     expect(refusals(scheduler.submit(job('next', { sharedPromptParts: ['y', 'bad'], arrivedAt: now }), now))).toEqual(['next'])
   })
 
+  // Guards against a crash that goes unnoticed until the server's entry is removed, while further ones follow.
+  it('are refused after three crashes that broke the connections of all jobs of a server together', () => {
+    const ids = ['a', 'b', 'c', 'd']
+    const scheduler = createScheduler(...servers(...ids))
+    for (const [index, id] of ids.slice(0, 3).entries()) {
+      const now = index * CRASH_INTERVAL_MS
+      const excludedServers = ids.filter(other => other !== id)
+      scheduler.submit(job(`bad-${id}`, { sharedPromptParts: ['bad'], excludedServers, arrivedAt: now }), now)
+      scheduler.submit(job(`other-${id}`, { excludedServers, arrivedAt: now }), now)
+      for (const name of ['bad', 'other']) scheduler.recordEnd(`${name}-${id}`, id, Outcome.broken, undefined, now + 50)
+    }
+    const now = 3 * CRASH_INTERVAL_MS
+    expect(refusals(scheduler.submit(job('next', { sharedPromptParts: ['bad'], arrivedAt: now }), now))).toEqual(['next'])
+  })
+
+  it('stay served if connections break while their server goes on', () => {
+    const scheduler = createScheduler(...servers('a', 'b', 'c', 'd'))
+    for (let i = 0; i < 12; i++) {
+      const now = i * 100
+      const [grant] = scheduler.submit(job(`j${i}`, { sharedPromptParts: ['p'], arrivedAt: now }), now)
+      if (grant?.kind !== 'grant') throw new Error(`request ${i} was not granted`)
+      scheduler.recordEnd(`j${i}`, grant.server, Outcome.broken, undefined, now + 50)
+    }
+    expect(grantedJobIds(scheduler.submit(job('next', { sharedPromptParts: ['p'], arrivedAt: 2_000 }), 2_000))).toEqual(['next'])
+  })
+
+  it('are refused though a server answered some of them with an error of the caller', () => {
+    const scheduler = createScheduler(...servers('a', 'b', 'c', 'd'))
+    for (const [index, id] of ['a', 'b', 'c'].entries()) {
+      const now = index * CRASH_INTERVAL_MS
+      crash(scheduler, id, now, ['bad'])
+      const [grant] = scheduler.submit(job(`invalid-${id}`, { sharedPromptParts: ['bad'], arrivedAt: now + 500 }), now + 500)
+      if (grant?.kind !== 'grant') continue
+      scheduler.recordFirstEvent(grant.job, grant.server, now + 510)
+      scheduler.recordEnd(grant.job, grant.server, Outcome.declined, 10, now + 520)
+    }
+    const now = 3 * CRASH_INTERVAL_MS
+    expect(refusals(scheduler.submit(job('next', { sharedPromptParts: ['bad'], arrivedAt: now }), now))).toEqual(['next'])
+  })
+
   // Guards against sound requests being refused because they share a part with requests that crash servers.
   it('stay served if the part is sound, however many crashes it was present at', () => {
     const scheduler = createScheduler(...servers('a', 'b', 'c', 'd', 'e', 'f'))
