Hand over what is known of crashes when the scheduler changes

Requests with a prompt part that crashes servers were refused only by the scheduler that had recorded the crashes. The next one, or the own scheduler of a host that lost its link, granted them servers again until three more had crashed.

The scheduler now reports crashes and blocked parts to all linked hosts within 0.1 s of a change, and when a host links. The idle scheduler of each host takes them in place of its own; a host hands them over to the scheduler that it selects next, before its jobs, which adds them to what it knows.

`know the prompt parts that crash servers when another scheduler is selected` and `hand over the prompt parts that crash servers to a scheduler that has just started` failed before and pass now. The latter and its neighbours share the steps that crash servers; what they require is unchanged.

--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -1,15 +1,21 @@
 import type { Clock } from '../base/index.js'
+import type { CrashEvidence } from '../poison/index.js'
 import { type Effect, Outcome, type Scheduler } from '../schedule/index.js'
 import type { ReplyHandler, SchedulerConnection } from './connection.js'
 import type { Ask } from './dispatch_pb.js'
 import type { Gossip } from './gossip.js'
-import { createReply, decodeJob } from './messages.js'
+import { createReply, decodeJob, encodeCrashes } from './messages.js'
+
+/** Shortest time between two reports of crashes to the connected hosts, in milliseconds. */
+const CRASH_REPORT_INTERVAL_MS = 100
 
 const OUTCOMES: ReadonlySet<string> = new Set(Object.values(Outcome))
 
 /** Connects the scheduler of this process to the hosts that use it, which may include this host. */
 export class Hub {
   private readonly replyHandlers = new Map<string, ReplyHandler>()
+  /** Revision of the crash evidence that the connected hosts have, and when they got it. */
+  private reportedCrashes = { revision: 0, at: -Infinity }
 
   /**
    * @param scheduler - the scheduler of this process
@@ -35,6 +41,7 @@
     this.disconnect(host)
     this.replyHandlers.set(host, onReply)
     this.onHostsChanged()
+    if (this.scheduler.crashes.revision > 0) this.sendCrashes(host)
     return { send: ask => { if (this.replyHandlers.get(host) === onReply) this.handleAsk(host, ask) } }
   }
 
@@ -73,8 +80,21 @@
     for (const host of this.replyHandlers.keys()) this.sendReply(host, 0, { case: 'paces', value: { paces: speeds } })
   }
 
-  /** Schedules the queued jobs again, since queue timeouts and back-offs expire with time. */
+  /**
+   * Adopts what the scheduler in use knows of crashes, since this one may be selected next.
+   *
+   * @param evidence - its crashes and blocked prompt parts
+   */
+  adoptCrashes (evidence: CrashEvidence): void {
+    this.scheduler.crashes.adopt(evidence, this.replyHandlers.size === 0, this.clock.now())
+  }
+
+  /**
+   * Schedules the queued jobs again, since queue timeouts and back-offs expire with time, and reports changes of the
+   * crash evidence to all connected hosts, any of which may be selected next.
+   */
   tick (): void {
+    this.reportCrashes(this.clock.now())
     if (this.scheduler.queueLength > 0) this.sendEffects(this.scheduler.tick(this.clock.now()))
   }
 
@@ -108,6 +128,17 @@
       case 'levels':
         this.scheduler.adoptQuotaBalances(body.value.levels, now)
         break
+      case 'crashes':
+        this.scheduler.crashes.adopt(body.value, false, now)
+        break
+      default:
+        this.handleRowAsk(host, body)
+    }
+  }
+
+  /** Handles the messages by which hosts exchange rows. */
+  private handleRowAsk (host: string, body: Ask['body']): void {
+    switch (body.case) {
       case 'ping':
         this.sendReply(host, 0, { case: 'pong', value: { standing: this.gossip.versionVector() } })
         this.gossip.compare(body.value.standing, behind => this.sendReply(host, 0, { case: 'behind', value: behind }))
@@ -121,6 +152,18 @@
     }
   }
 
+  private reportCrashes (now: number): void {
+    const { revision } = this.scheduler.crashes
+    if (revision === this.reportedCrashes.revision || now - this.reportedCrashes.at < CRASH_REPORT_INTERVAL_MS) return
+    this.reportedCrashes = { revision, at: now }
+    for (const host of this.replyHandlers.keys()) this.sendCrashes(host)
+  }
+
+  private sendCrashes (host: string): void {
+    const evidence = encodeCrashes(this.scheduler.crashes.evidence(this.clock.now()))
+    this.sendReply(host, 0, { case: 'crashes', value: evidence })
+  }
+
   private sendEffects (effects: readonly Effect[]): void {
     for (const effect of effects) {
       const slash = effect.job.lastIndexOf('/')
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -1,10 +1,13 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
+import type { CrashEvidence } from '../poison/index.js'
 import type { Job } from '../schedule/index.js'
-import { type Ask, AskSchema, type Place, PlaceSchema, type Reply, ReplySchema } from './dispatch_pb.js'
+import {
+  type Ask, AskSchema, type Crashes, CrashesSchema, type Place, PlaceSchema, type Reply, ReplySchema
+} from './dispatch_pb.js'
 
 /**
  * Body of a message to a scheduler. Of the cases, `place` requests a slot, `adopt` reports a job that already holds a
- * slot, and `levels` holds quota balances.
+ * slot, `levels` holds quota balances, and `crashes` what is known of crashes.
  */
 export type AskBody = NonNullable<MessageInitShape<typeof AskSchema>['body']>
 
@@ -92,3 +95,14 @@
     isCharged: slotRequest.charged
   }
 }
+
+/**
+ * @param evidence - what a scheduler knows of crashes
+ * @returns the body of a message to another host
+ */
+export function encodeCrashes ({ crashes, blocked }: CrashEvidence): Crashes {
+  return create(CrashesSchema, {
+    crashes: crashes.map(crash => ({ ...crash, parts: [...crash.parts] })),
+    blocked: blocked.map(part => ({ ...part, servers: [...part.servers] }))
+  })
+}
--- a/src/dispatch/selector.ts
+++ b/src/dispatch/selector.ts
@@ -5,7 +5,7 @@
 import type { Hub } from './hub.js'
 import { Link } from './link.js'
 import type { Member } from './member.js'
-import { createAsk } from './messages.js'
+import { createAsk, encodeCrashes } from './messages.js'
 
 /** Key under which the members are ranked; all hosts must use the same one to agree on the order. */
 const RANKING_KEY = 'scheduler'
@@ -170,6 +170,8 @@
       this.gossip.applyRows(body.value)
     } else if (body.case === 'paces') {
       this.hub.scheduler.loads.adoptSpeeds(body.value.paces)
+    } else if (body.case === 'crashes') {
+      this.hub.adoptCrashes(body.value)
     } else {
       this.dispatcher.handleReply(reply)
     }
@@ -183,10 +185,18 @@
     this.linkedMember = member
     this.disconnectLocal()
     previous?.close('a higher-ranked member was selected')
+    this.handOverCrashes(link)
     this.dispatcher.switchScheduler(link)
     this.onChange(member.host, 'it is the first in reach')
   }
 
+  /** Sends what the previous scheduler knew of crashes, before any job. */
+  private handOverCrashes (link: Link): void {
+    const { crashes } = this.hub.scheduler
+    if (crashes.revision === 0) return
+    link.send(createAsk(0, { case: 'crashes', value: encodeCrashes(crashes.evidence(this.clock.now())) }))
+  }
+
   private handleClosed (member: Member, link: Link, reason: string): void {
     if (this.connecting?.link === link) this.connecting = undefined
     else if (this.link !== link) return
--- a/src/poison/detector.ts
+++ b/src/poison/detector.ts
@@ -1,3 +1,4 @@
+import type { CrashEvidence } from './evidence.js'
 import { CrashHistory } from './history.js'
 import { type CrashObserver, NO_OBSERVER } from './observer.js'
 import { PartHistory, REPORT_DELAY_MS } from './parthistory.js'
@@ -149,9 +150,29 @@
     return sharedPromptParts.filter(part => this.parts.isSuspect(part))
   }
 
-  /** @returns the crashes and blocked prompt parts, for a dump */
-  dump (): unknown {
-    return this.parts.dump()
+  /** Increases with each change of the evidence. */
+  get revision (): number {
+    return this.parts.revision
+  }
+
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns the crashes and blocked prompt parts, for other schedulers
+   */
+  evidence (now: number): CrashEvidence {
+    return this.parts.evidence(now)
+  }
+
+  /**
+   * Adopts the evidence of another scheduler.
+   *
+   * @param evidence - its crashes and blocked prompt parts
+   * @param isReplacement - whether the evidence gathered here is discarded, since the other scheduler is in use
+   * @param now - monotonic time, in milliseconds
+   */
+  adopt (evidence: CrashEvidence, isReplacement: boolean, now: number): void {
+    if (isReplacement) this.parts.clear()
+    this.parts.adopt(evidence, now)
   }
 
   private recordCrash (server: string, requests: readonly RequestTraits[], now: number): void {
--- a/src/schedule/crashmonitor.ts
+++ b/src/schedule/crashmonitor.ts
@@ -1,5 +1,5 @@
 import type { BackendServer } from '../fleet/index.js'
-import { type CrashObserver, PoisonDetector } from '../poison/index.js'
+import { type CrashEvidence, type CrashObserver, PoisonDetector } from '../poison/index.js'
 import type { Job } from './job.js'
 import { Outcome } from './outcome.js'
 
@@ -117,9 +117,28 @@
       this.isRunning(run => run.job.sharedPromptParts.some(part => suspects.includes(part)))
   }
 
-  /** @returns the crashes and blocked prompt parts, for a dump */
-  dump (): unknown {
-    return this.detector.dump()
+  /** Increases with each change of the evidence. */
+  get revision (): number {
+    return this.detector.revision
+  }
+
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns the crashes and blocked prompt parts, for other schedulers
+   */
+  evidence (now: number): CrashEvidence {
+    return this.detector.evidence(now)
+  }
+
+  /**
+   * Adopts the evidence of another scheduler.
+   *
+   * @param evidence - its crashes and blocked prompt parts
+   * @param isReplacement - whether the evidence gathered here is discarded, since the other scheduler is in use
+   * @param now - monotonic time, in milliseconds
+   */
+  adopt (evidence: CrashEvidence, isReplacement: boolean, now: number): void {
+    this.detector.adopt(evidence, isReplacement, now)
   }
 
   /** A server is lost if the connections of all its jobs break together, even if its entry remains for some time. */
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -20,9 +20,9 @@
 export class Scheduler {
   readonly loads = new ServerLoads()
   readonly migrations: Migrations
+  readonly crashes: CrashMonitor
   private readonly services: ServiceStates
   private readonly quotas: Quotas
-  private readonly crashes: CrashMonitor
   private share = 1
 
   /**
@@ -196,7 +196,7 @@
   dump (): unknown {
     return {
       part: this.share,
-      crashes: this.crashes.dump(),
+      crashes: this.crashes.evidence(0),
       moves: this.migrations.dump(),
       waiting: this.services.dump(),
       servers: this.loads.dump()
