Count a stream that ends with its connection as complete only if the server goes on

If a crash ends such a stream between two events, it passed for a complete response, which cleared the prompt part that had crashed the server.

Such a stream now ends its job as `ended` instead of `done`. Callers, health and migrations treat both alike. It alone does not make a server lost that is no longer listed, and does not count as a connection that broke together with others.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,7 +1,7 @@
 import type { JobHandle, Placement } from '../dispatch/index.js'
 import type { BackendServer } from '../fleet/index.js'
 import { mayRetryAfterExecution } from '../routing/index.js'
-import { Outcome, Refusal } from '../schedule/index.js'
+import { Outcome, Refusal, SUCCESSES } from '../schedule/index.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
 import type { ForwardContext } from './context.js'
@@ -144,7 +144,7 @@
   private handleDeliveryEnd (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
     if (this.isFinished) return
     if (delivery.wasSent) this.sendCount++
-    if (outcome === Outcome.done || outcome === Outcome.declined) this.complete(delivery, outcome, result)
+    if (SUCCESSES.has(outcome)) this.complete(delivery, outcome, result)
     else if (outcome === Outcome.rejected || outcome === Outcome.misdirected || outcome === Outcome.unreachable) {
       this.handleNotRun(delivery, outcome)
     } else if (outcome === Outcome.unsendable) {
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -161,7 +161,7 @@
     this.context.connectionPool.release(this.server.address, this.connection)
     if (this.isStreaming) {
       this.startResponse()
-      this.listener.onEnded(this, Outcome.done, undefined)
+      this.listener.onEnded(this, this.isCloseDelimited ? Outcome.ended : Outcome.done, undefined)
     } else {
       this.lastReceivedAt = this.context.clock.now()
       const { status, headers, isCloseDelimited } = this
--- a/src/poison/detector.ts
+++ b/src/poison/detector.ts
@@ -34,6 +34,8 @@
   readonly server: string
   readonly grantedAt: number
   readonly disconnectedAt: number
+  /** Whether the response may be complete, since the end of the connection is also the end of the response. */
+  readonly mayBeComplete: boolean
 }
 
 /**
@@ -54,10 +56,14 @@
    * @param traits - what identifies the request
    * @param server - incarnation of the server that ran it
    * @param grantedAt - when it was granted the server, monotonic time in milliseconds
+   * @param mayBeComplete - whether the end of the connection is also the end of the response; it is taken for complete
+   *   unless the server is lost
    * @param now - monotonic time, in milliseconds
    */
-  recordDisconnect (traits: RequestTraits, server: string, grantedAt: number, now: number): void {
-    this.disconnectedRequests.push({ traits, server, grantedAt, disconnectedAt: now })
+  recordDisconnect (
+    traits: RequestTraits, server: string, grantedAt: number, mayBeComplete: boolean, now: number
+  ): void {
+    this.disconnectedRequests.push({ traits, server, grantedAt, disconnectedAt: now, mayBeComplete })
     if (this.disconnectedRequests.length > MAX_DISCONNECTED_REQUESTS) this.disconnectedRequests.shift()
   }
 
@@ -84,8 +90,8 @@
    */
   disconnectedServers (now: number): Set<string> {
     if (this.disconnectedRequests.length === 0) return new Set()
-    this.disconnectedRequests = this.disconnectedRequests.filter(each => now - each.disconnectedAt <= CRASH_WINDOW_MS)
-    return new Set(this.disconnectedRequests.map(({ server }) => server))
+    this.resolveDisconnects(each => now - each.disconnectedAt > CRASH_WINDOW_MS)
+    return new Set(this.disconnectedRequests.filter(each => !each.mayBeComplete).map(({ server }) => server))
   }
 
   /**
@@ -97,7 +103,7 @@
    */
   jointBreakAt (server: string, now: number): number | undefined {
     const broken = this.disconnectedRequests.filter(each => {
-      return each.server === server && now - each.disconnectedAt <= JOINT_BREAK_MS
+      return each.server === server && !each.mayBeComplete && now - each.disconnectedAt <= JOINT_BREAK_MS
     })
     const firstAt = Math.min(...broken.map(({ disconnectedAt }) => disconnectedAt))
     return broken.filter(({ grantedAt }) => grantedAt < firstAt).length < 2 ? undefined : firstAt
@@ -108,7 +114,9 @@
    * @returns whether the connection of a request with one of them broke, and it is not known yet why
    */
   isUnresolved (parts: readonly string[]): boolean {
-    return this.disconnectedRequests.some(({ traits }) => traits.sharedPromptParts.some(part => parts.includes(part)))
+    return this.disconnectedRequests.some(({ traits, mayBeComplete }) => {
+      return !mayBeComplete && traits.sharedPromptParts.some(part => parts.includes(part))
+    })
   }
 
   /**
@@ -118,9 +126,7 @@
    * @param now - monotonic time, in milliseconds
    */
   recordResponse (server: string, now: number): void {
-    this.disconnectedRequests = this.disconnectedRequests.filter(request => {
-      return request.server !== server || now - request.disconnectedAt <= REPORT_DELAY_MS
-    })
+    this.resolveDisconnects(each => each.server === server && now - each.disconnectedAt > REPORT_DELAY_MS)
     this.reportUnblocked(this.parts.recordResponse(server, now))
   }
 
@@ -175,6 +181,14 @@
     this.parts.adopt(evidence, now)
   }
 
+  /** Drops requests whose server goes on. */
+  private resolveDisconnects (isResolved: (request: DisconnectedRequest) => boolean): void {
+    const resolved = this.disconnectedRequests.filter(isResolved)
+    if (resolved.length === 0) return
+    this.disconnectedRequests = this.disconnectedRequests.filter(each => !resolved.includes(each))
+    for (const { traits, mayBeComplete } of resolved) if (mayBeComplete) this.recordCompletion(traits)
+  }
+
   private recordCrash (server: string, requests: readonly RequestTraits[], now: number): void {
     const parts = [...new Set(requests.flatMap(traits => traits.sharedPromptParts))]
     this.observer.serverCrashed({ server, requests: requests.length, parts })
--- a/src/schedule/crashmonitor.ts
+++ b/src/schedule/crashmonitor.ts
@@ -1,13 +1,13 @@
 import type { BackendServer } from '../fleet/index.js'
 import { type CrashEvidence, type CrashObserver, PoisonDetector } from '../poison/index.js'
 import type { Job } from './job.js'
-import { Outcome } from './outcome.js'
+import { Outcome, SUCCESSES } from './outcome.js'
 
 /** Outcomes that show that the server at the address is gone. */
 const SERVER_LOSSES: ReadonlySet<Outcome> = new Set([Outcome.unreachable, Outcome.misdirected])
 
 /** Outcomes with a response of the server itself. */
-const RESPONSES: ReadonlySet<Outcome> = new Set([Outcome.done, Outcome.declined, Outcome.failed, Outcome.rejected])
+const RESPONSES: ReadonlySet<Outcome> = new Set([...SUCCESSES, Outcome.failed, Outcome.rejected])
 
 interface Run {
   readonly job: Job
@@ -86,7 +86,9 @@
     if (outcome === Outcome.broken) this.recordDisconnect(run, now)
     if (SERVER_LOSSES.has(outcome)) this.detector.recordServerLoss(run.server, now)
     if (RESPONSES.has(outcome)) this.detector.recordResponse(run.server, now)
-    if (outcome === Outcome.done && run.hasStarted) this.detector.recordCompletion(run.job)
+    if (!run.hasStarted) return
+    if (outcome === Outcome.done) this.detector.recordCompletion(run.job)
+    if (outcome === Outcome.ended) this.detector.recordDisconnect(run.job, run.server, run.grantedAt, true, now)
   }
 
   /** @param isGone - whether the job with an id is no longer running */
@@ -143,7 +145,7 @@
 
   /** A server is lost if the connections of all its jobs break together, even if its entry remains for some time. */
   private recordDisconnect ({ job, server, grantedAt }: Run, now: number): void {
-    this.detector.recordDisconnect(job, server, grantedAt, now)
+    this.detector.recordDisconnect(job, server, grantedAt, false, now)
     const breakAt = this.detector.jointBreakAt(server, now)
     if (breakAt === undefined || this.isRunning(run => run.server === server && run.grantedAt < breakAt)) return
     this.detector.recordServerLoss(server, now)
--- a/src/schedule/health.ts
+++ b/src/schedule/health.ts
@@ -1,4 +1,4 @@
-import { Outcome } from './outcome.js'
+import { Outcome, SUCCESSES } from './outcome.js'
 
 /** Weight of the latest outcome in a server's failure rate, an exponential moving average. */
 const OUTCOME_WEIGHT = 0.2
@@ -31,7 +31,7 @@
    * @param now - monotonic time, in milliseconds
    */
   recordOutcome (outcome: Outcome, now: number): void {
-    if (outcome === Outcome.done || outcome === Outcome.declined) {
+    if (SUCCESSES.has(outcome)) {
       this.consecutiveFailures = 0
       this.updateFailureRate(0, now)
     } else if (outcome === Outcome.failed) {
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -1,6 +1,6 @@
 /** Decides which server each request gets, and when. */
 export type { Job } from './job.js'
-export { Outcome } from './outcome.js'
+export { Outcome, SUCCESSES } from './outcome.js'
 export { type Effect, Refusal } from './effect.js'
 export { HOST_BUDGET_SHARE, type RetryLimits, RetryBudget } from './retrybudget.js'
 export type { ScheduleLimits } from './limits.js'
--- a/src/schedule/outcome.ts
+++ b/src/schedule/outcome.ts
@@ -2,6 +2,8 @@
 export const Outcome = {
   /** The response was received completely. */
   done: 'done',
+  /** A stream ended between two events with its connection, so that it may be incomplete. */
+  ended: 'ended',
   /** The server responded completely with a redirection or an error of the caller. */
   declined: 'declined',
   /** The server responded with an error of its own. */
@@ -24,3 +26,6 @@
 
 /** One of the values of {@link Outcome}. */
 export type Outcome = typeof Outcome[keyof typeof Outcome]
+
+/** Outcomes with a response that is passed on to the caller, and that show that the server works. */
+export const SUCCESSES: ReadonlySet<Outcome> = new Set([Outcome.done, Outcome.ended, Outcome.declined])
--- a/test/promptparts.test.ts
+++ b/test/promptparts.test.ts
@@ -121,6 +121,41 @@
     expect(refusals(scheduler.submit(job('next', { sharedPromptParts: ['bad'], arrivedAt: now }), now))).toEqual(['next'])
   })
 
+  // Guards against a crash that passes for a complete response: the connection also ends streams without a length.
+  it('are refused though their streams ended with the connection between two events', () => {
+    const ids = ['a', 'b', 'c', 'd']
+    const scheduler = createScheduler(...servers(...ids))
+    for (const [index, id] of ids.slice(0, 3).entries()) {
+      const now = index * CRASH_INTERVAL_MS
+      const excludedServers = ids.filter(other => other !== id)
+      scheduler.submit(job(`bad-${id}`, { sharedPromptParts: ['bad'], excludedServers, arrivedAt: now }), now)
+      scheduler.submit(job(`last-${id}`, { excludedServers, arrivedAt: now }), now)
+      scheduler.recordFirstEvent(`bad-${id}`, id, now + 40)
+      scheduler.recordEnd(`bad-${id}`, id, Outcome.ended, 20, now + 50)
+      scheduler.recordEnd(`last-${id}`, id, Outcome.unreachable, undefined, now + 60)
+    }
+    const now = 3 * CRASH_INTERVAL_MS
+    expect(refusals(scheduler.submit(job('next', { sharedPromptParts: ['bad'], arrivedAt: now }), now))).toEqual(['next'])
+  })
+
+  it('stay served if streams end with the connection while their servers go on', () => {
+    const scheduler = createScheduler(...servers('a', 'b', 'c', 'd', 'e', 'f'))
+    for (const [index, id] of ['a', 'b', 'c', 'd', 'e'].entries()) {
+      const now = index * CRASH_INTERVAL_MS
+      crash(scheduler, id, now, ['first', `x${index}`])
+      const excludedServers = ['a', 'b', 'c', 'd', 'e']
+      const request = { sharedPromptParts: ['first'], excludedServers, arrivedAt: now + 100 }
+      scheduler.submit(job(`sound-${id}`, request), now + 100)
+      scheduler.recordFirstEvent(`sound-${id}`, 'f', now + 200)
+      scheduler.recordEnd(`sound-${id}`, 'f', Outcome.ended, 20, now + 300)
+      scheduler.submit(job(`later-${id}`, { excludedServers, arrivedAt: now + 300 }), now + 300)
+      scheduler.recordFirstEvent(`later-${id}`, 'f', now + 900)
+      scheduler.recordEnd(`later-${id}`, 'f', Outcome.done, 20, now + 950)
+    }
+    const now = 5 * CRASH_INTERVAL_MS
+    expect(grantedJobIds(scheduler.submit(job('next', { sharedPromptParts: ['first'], arrivedAt: now }), now))).toEqual(['next'])
+  })
+
   // Guards against sound requests being refused because they share a part with requests that crash servers.
   it('stay served if the part is sound, however many crashes it was present at', () => {
     const scheduler = createScheduler(...servers('a', 'b', 'c', 'd', 'e', 'f'))
