--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,7 +1,7 @@
 import type { JobHandle, Placement } from '../dispatch/index.js'
 import type { BackendServer } from '../fleet/index.js'
 import { chooseService, mayRetryAfterExecution } from '../routing/index.js'
-import { Outcome, Refusal } from '../schedule/index.js'
+import { Outcome, Refusal, SUCCESSES } from '../schedule/index.js'
 import type { BufferedResponse } from './bufferedresponse.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
@@ -146,7 +146,7 @@
 
   private handleDeliveryEnd (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
     if (this.isFinished) return
-    if (outcome === Outcome.done) this.complete(delivery, result)
+    if (SUCCESSES.has(outcome)) this.complete(delivery, outcome, result)
     else if (outcome === Outcome.rejected || outcome === Outcome.misdirected || outcome === Outcome.unreachable) {
       this.handleNotRun(delivery, outcome)
     } else if (outcome === Outcome.unsendable) {
@@ -162,8 +162,8 @@
     }
   }
 
-  private complete (delivery: Delivery, result: BufferedResponse | undefined): void {
-    this.slots.job?.reportEnded(Outcome.done, delivery.stepMs)
+  private complete (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
+    this.slots.job?.reportEnded(outcome, delivery.stepMs)
     if (result === undefined) this.response.end()
     else this.response.send(result.status, result.headers, result.body, result.isCloseDelimited)
     this.log('answered', { ...delivery.logFields, ms: Math.round(this.context.clock.now() - this.request.arrivedAt) })
@@ -190,7 +190,8 @@
     this.failedResponse.mayHaveRun = true
     this.slots.job?.reportEnded(outcome)
     const silentMs = Math.round(delivery.silenceMs(this.context.clock.now()))
-    this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason, silentMs })
+    const { sharedPromptParts: parts } = this.request
+    this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason, silentMs, parts })
     this.slots.excludedServers.push(delivery.server.id)
     this.sequencer.discardPartialEvent()
   }
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -147,7 +147,7 @@
     this.context.connectionPool.release(this.server.address, this.connection)
     if (this.isStreaming) {
       this.startResponse()
-      this.listener.onEnded(this, Outcome.done, undefined)
+      this.listener.onEnded(this, this.isCloseDelimited ? Outcome.ended : Outcome.done, undefined)
     } else {
       this.lastReceivedAt = this.context.clock.now()
       const { status, headers, isCloseDelimited } = this
@@ -175,7 +175,8 @@
   private classifyResponse (): Outcome {
     if (this.status === Status.misdirected) return Outcome.misdirected
     if (findHeader(this.headers, this.context.headerNames.notRun) !== undefined) return Outcome.rejected
-    return this.status >= Status.serverError ? Outcome.failed : Outcome.done
+    if (this.status >= Status.serverError) return Outcome.failed
+    return this.status >= Status.redirection ? Outcome.declined : Outcome.done
   }
 
   /** @returns whether to continue reading at once */
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -1,13 +1,14 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import type { CallerLimits, Deployment } from '../routing/index.js'
 import { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerrequest.js'
 import { CallerResponse } from './callerresponse.js'
+import { handleClientError } from './clienterror.js'
 import type { ForwardContext } from './context.js'
 import { findHeader } from './headers.js'
 import {
-  computeFingerprint, estimateOutputTokens, headerBlockBytes, matchRoute, parseTokenUsage, quotaUnits, type RouteMatch
+  computeFingerprint, estimateOutputTokens, headerBlockBytes, matchRoute, parseSharedPromptParts, parseTokenUsage,
+  quotaUnits, type RouteMatch
 } from './requestfields.js'
 import { Status } from './status.js'
 
@@ -35,12 +36,6 @@
 /** Deadline of requests that state none, in milliseconds after arrival. */
 const DEFAULT_DEADLINE_MS = 60_000
 
-/** Status lines for requests that were not received, by Node's error code; 400 for others. */
-const RECEIVE_FAILURES: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
-}
-
 /** HTTP server for callers' requests. */
 export class Ingress {
   private readonly server: Server
@@ -54,11 +49,7 @@
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
       requestTimeout: 0
     }, (message, response) => this.handleRequest(message, response))
-    this.server.on('clientError', (error, socket) => {
-      const status = RECEIVE_FAILURES[(error as NodeJS.ErrnoException).code ?? ''] ?? '400 Bad Request'
-      if ((socket as Socket).bytesRead === 0 || !socket.writable) socket.destroy()
-      else socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-    })
+    this.server.on('clientError', handleClientError)
   }
 
   /**
@@ -230,6 +221,7 @@
       route,
       organisation,
       promptTokens,
+      sharedPromptParts: parseSharedPromptParts(findHeader(headers, names.promptParts)),
       expectedTokens: estimateOutputTokens(maxOutputTokens, findHeader(headers, names.lengthHint)),
       units: quotaUnits(organisation, promptTokens + maxOutputTokens),
       lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
--- a/src/forward/slotrequest.ts
+++ b/src/forward/slotrequest.ts
@@ -28,6 +28,7 @@
     ...slotRequest,
     route: route.name,
     fingerprint: request.fingerprint,
+    sharedPromptParts: request.sharedPromptParts,
     organisationRank: organisation?.rank ?? 0,
     rank: route.rank,
     organisation: organisation?.name,
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -1,19 +1,17 @@
 import type { BackendServer } from '../fleet/index.js'
-import { PoisonDetector } from '../poison/index.js'
+import { type CrashObserver, NO_OBSERVER } from '../poison/index.js'
 import type { Organisation } from '../routing/index.js'
 import { UNKNOWN_BALANCE_SHARE } from './quota.js'
 import { type QuotaBalance, Quotas } from './quotas.js'
 import type { ScheduleLimits } from './limits.js'
+import { CrashMonitor } from './crashmonitor.js'
 import { type Effect, Refusal } from './effect.js'
 import type { Job } from './job.js'
 import { ServerLoads } from './loads.js'
 import { Migrations } from './migrations.js'
-import { Outcome } from './outcome.js'
-import { ServiceState } from './servicestate.js'
-import { queueTimeoutMs, retryAfterMs } from './timeouts.js'
-
-/** Retry delay for a request that crashes servers, in milliseconds: its crash records have expired by then. */
-const CRASH_RETRY_AFTER_MS = 120_000
+import type { Outcome } from './outcome.js'
+import { ServiceStates } from './servicestates.js'
+import { CRASH_RETRY_AFTER_MS, queueTimeoutMs, retryAfterMs } from './timeouts.js'
 
 /**
  * Decides which server each job gets and when. Performs no input or output; the time is passed in. The state is kept
@@ -22,16 +20,19 @@
 export class Scheduler {
   readonly loads = new ServerLoads()
   readonly migrations: Migrations
-  private readonly services = new Map<string, ServiceState>()
+  readonly crashes: CrashMonitor
+  private readonly services: ServiceStates
   private readonly quotas: Quotas
-  private readonly crashes = new PoisonDetector()
   private share = 1
 
   /**
    * @param limits - limits on its decisions
    * @param isFirstStart - whether the whole deployment starts for the first time, so that quotas begin full
+   * @param crashObserver - is told of crashes of servers
    */
-  constructor (private readonly limits: ScheduleLimits, isFirstStart = false) {
+  constructor (limits: ScheduleLimits, isFirstStart = false, crashObserver: CrashObserver = NO_OBSERVER) {
+    this.crashes = new CrashMonitor(crashObserver)
+    this.services = new ServiceStates(limits.retries)
     this.migrations = new Migrations(limits.canaryExposure)
     this.quotas = new Quotas(limits.quotaOvershoot, isFirstStart ? 1 : UNKNOWN_BALANCE_SHARE)
   }
@@ -44,6 +45,7 @@
    */
   setServers (servers: readonly BackendServer[]): void {
     this.loads.setServers(servers)
+    this.crashes.setServers(servers)
   }
 
   /**
@@ -76,10 +78,10 @@
    * @returns decisions on this job and perhaps on others
    */
   submit (job: Job, now: number): Effect[] {
-    if (this.crashes.isPoison(job.fingerprint, now)) {
-      return [this.refuse(job, Refusal.crashes, CRASH_RETRY_AFTER_MS, now)]
+    if (this.crashes.isPoison(job, now)) {
+      return [{ kind: 'refuse', job: job.id, reason: Refusal.crashes, retryAfterMs: CRASH_RETRY_AFTER_MS }]
     }
-    const state = this.stateOf(job.service)
+    const state = this.services.get(job.service)
     if (job.isRetry && !state.retryBudget.take(this.share, now)) return [this.refuse(job, Refusal.retryBudget, 0, now)]
     if (!job.isCharged) {
       const waitMs = this.quotas.take(job.organisation, job.units, job.rank, now)
@@ -103,6 +105,7 @@
     if (load === undefined) return
     load.addJob(job, now)
     this.migrations.recordGrant(job, load.server)
+    this.crashes.recordGrant(job, load.server, now, hasStarted)
     if (hasStarted) load.running.get(job.id)!.firstEventAt = now
   }
 
@@ -115,6 +118,7 @@
    * @returns decisions on queued jobs
    */
   recordFirstEvent (jobId: string, server: string, now: number): Effect[] {
+    this.crashes.recordFirstEvent(jobId, now)
     const load = this.loads.get(server)
     load?.recordFirstEvent(jobId, now)
     return load === undefined ? [] : this.schedule(load.server.service, now)
@@ -131,12 +135,11 @@
    * @returns decisions on queued jobs
    */
   recordEnd (jobId: string, server: string, outcome: Outcome, stepMs: number | undefined, now: number): Effect[] {
+    this.crashes.recordEnd(jobId, outcome, now)
     const load = this.loads.get(server)
     if (load === undefined) return []
     const run = load.running.get(jobId)
-    if (run !== undefined && outcome === Outcome.broken) this.crashes.recordDisconnect(run.job.fingerprint, server, now)
     if (run !== undefined) this.migrations.recordOutcome(load.server, run, outcome, stepMs, now)
-    if (outcome === Outcome.unreachable) this.crashes.recordServerLoss(server, now)
     load.removeJob(jobId, outcome, stepMs, now)
     return this.schedule(load.server.service, now)
   }
@@ -149,7 +152,7 @@
    * @param now - monotonic time, in milliseconds
    */
   withdraw (jobId: string, service: string, now: number): void {
-    const job = this.services.get(service)?.queue.remove(jobId)
+    const job = this.services.find(service)?.queue.remove(jobId)
     if (job !== undefined) this.refund(job, now)
   }
 
@@ -160,9 +163,8 @@
    */
   dropJobs (isGone: (id: string) => boolean): void {
     this.loads.dropJobs(isGone)
-    for (const { queue } of this.services.values()) {
-      for (const job of queue.list(0)) if (isGone(job.id)) queue.remove(job.id)
-    }
+    this.crashes.dropJobs(isGone)
+    this.services.dropJobs(isGone)
   }
 
   /**
@@ -172,7 +174,7 @@
    * @returns decisions on queued jobs
    */
   tick (now: number): Effect[] {
-    return [...this.services.keys()].flatMap(service => this.schedule(service, now))
+    return this.services.names.flatMap(service => this.schedule(service, now))
   }
 
   /**
@@ -187,35 +189,41 @@
 
   /** Number of queued jobs of all services. */
   get queueLength (): number {
-    let count = 0
-    for (const { queue } of this.services.values()) count += queue.size
-    return count
+    return this.services.queueLength
   }
 
   /** @returns the state, for a dump */
   dump (): unknown {
     return {
       part: this.share,
+      crashes: this.crashes.evidence(0),
       moves: this.migrations.dump(),
-      waiting: [...this.services].map(([service, state]) => ({ service, jobs: state.queue.size })),
+      waiting: this.services.dump(),
       servers: this.loads.dump()
     }
   }
 
   /** Grants free slots in queue order and refuses jobs whose queue timeout has passed. */
   private schedule (service: string, now: number): Effect[] {
-    const state = this.services.get(service)
+    this.crashes.detectLosses(now)
+    const state = this.services.find(service)
     if (state === undefined || state.queue.size === 0) return []
     const loads = this.loads.forService(service)
     const effects: Effect[] = []
     this.migrations.getLatest(service, now)
     let available = loads.filter(load => load.freeSlots(this.share, now) > 0)
     for (const job of state.queue.list(now, rank => state.grantRates.isUnderserved(rank, now))) {
-      const load = this.migrations.chooseServer(loads, available, job, now)
+      if (this.crashes.isPoison(job, now)) {
+        state.queue.remove(job.id)
+        effects.push(this.refuse(job, Refusal.crashes, CRASH_RETRY_AFTER_MS, now))
+        continue
+      }
+      const load = this.crashes.mustWait(job) ? undefined : this.migrations.chooseServer(loads, available, job, now)
       if (load !== undefined) {
         state.queue.remove(job.id)
         load.addJob(job, now)
         this.migrations.recordGrant(job, load.server)
+        this.crashes.recordGrant(job, load.server, now)
         state.grantRates.recordResult(job.rank, true, now)
         available = available.filter(each => each !== load || each.freeSlots(this.share, now) > 0)
         const level = this.quotas.balanceShare(job.organisation)
@@ -231,20 +239,11 @@
   }
 
   private refuse (job: Job, reason: Refusal, delayMs: number, now: number): Effect {
-    if (reason !== Refusal.crashes) this.refund(job, now)
+    this.refund(job, now)
     return { kind: 'refuse', job: job.id, reason, retryAfterMs: delayMs }
   }
 
   private refund (job: Job, now: number): void {
     if (!job.isCharged) this.quotas.refund(job.organisation, job.units, now)
   }
-
-  private stateOf (service: string): ServiceState {
-    let state = this.services.get(service)
-    if (state === undefined) {
-      state = new ServiceState(this.limits.retries)
-      this.services.set(service, state)
-    }
-    return state
-  }
 }
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -88,7 +88,7 @@
   // Guards against: a caller waits for the route's timeout though its server is gone.
   it('is given up once it is no longer listed', async () => {
     const route_ = route({ retrySafety: RetrySafety.unsafe, timeoutMs: 10_000 })
-    const respondNever: Script = () => rig.remove(0)
+    const respondNever: Script = () => rig.fleet.apply({ id: 'server-0', revision: 2, server: undefined }, performance.now())
     rig = (await Rig.start(deployment({ routes: [route_] }), respondNever)).rig
     const sentAt = performance.now()
     expect(statusOf(await rig.request(POST, 'x'))).toEqual(502)
