End a stream at once if its second server responds without one

Callers of a resumable stream waited until their deadline if the server that was to continue it responded with a status of its own, e.g. 404: sending that response threw inside undici, whose error was dropped as the exchange was done. The time-out for silence, which ended it after 2 s before, no longer hides this. Now such a response counts as lost: another server is tried or the stream is cut off.

The new test of silence.test.ts failed before (more than 2 s, its bound).

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -146,7 +146,8 @@
 
   private handleDeliveryEnd (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
     if (this.isFinished) return
-    if (SUCCESSES.has(outcome)) this.complete(delivery, outcome, result)
+    const isUsable = result === undefined || !this.response.isStarted
+    if (SUCCESSES.has(outcome) && isUsable) this.complete(delivery, outcome, result)
     else if (outcome === Outcome.rejected || outcome === Outcome.misdirected || outcome === Outcome.unreachable) {
       this.handleNotRun(delivery, outcome)
     } else if (outcome === Outcome.unsendable) {
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -26,6 +26,29 @@
   setTimeout(() => socket.write(`${event(2)}0\r\n\r\n`), SILENCE_MS)
 }
 
+describe('a stream that another server continues', () => {
+  let rig: Rig
+  afterEach(async () => { await rig.close() })
+
+  // Guards against: the caller waited for its deadline after the second server had responded with status 404.
+  it('is cut off at once if that server responds without a stream', async () => {
+    let isFirst = true
+    const breakThenDecline: Script = (_, __, socket) => {
+      if (!isFirst) respond(socket, '404 Not Found', 'gone', ['x-attempt: a1'])
+      else {
+        socket.write('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\n' +
+          `Transfer-Encoding: chunked\r\n\r\n${event(1)}`, () => setTimeout(() => socket.resetAndDestroy(), 50))
+      }
+      isFirst = false
+    }
+    const route_ = route({ retrySafety: RetrySafety.stream, isResumable: true })
+    rig = (await Rig.start(deployment({ routes: [route_] }), breakThenDecline, breakThenDecline)).rig
+    const sentAt = performance.now()
+    expect((await rig.request(POST, 'x')).endsWith('0\r\n\r\n')).toEqual(false)
+    expect(performance.now() - sentAt < 2_000).toEqual(true)
+  })
+})
+
 describe('a sound server that is silent for a while', () => {
   let rig: Rig
   afterEach(async () => { await rig.close() })
