--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -28,6 +28,8 @@
 export class Attempt {
   private readonly slots: Slots
   private delivery: Delivery | undefined
+  /** The latest delivery that gave no usable response, for the log. */
+  private lostDelivery: Delivery | undefined
   private readonly sequencer: EventSequencer
   private sendCount = 0
   private regrantCount = 0
@@ -189,6 +191,7 @@
 
   private recordLost (delivery: Delivery, outcome: Outcome): void {
     this.failedResponse.mayHaveRun = true
+    this.lostDelivery = delivery
     this.slots.job?.reportEnded(outcome)
     const silentMs = Math.round(delivery.silenceMs(this.context.clock.now()))
     const { sharedPromptParts: parts } = this.request
@@ -220,7 +223,7 @@
 
   /** Finishes the attempt without a successful response from a server. */
   private fail (status: number, reason: string, retryAfterMs?: number): void {
-    this.failedResponse.send(status, reason, this.delivery, retryAfterMs)
+    this.failedResponse.send(status, reason, this.delivery ?? this.lostDelivery, retryAfterMs)
     this.log('gave-up', { status, reason })
     this.finish()
   }
