Keep a stream that was begun until a slot is free

Callers of a resumable stream whose server broke lost it if no slot was free at that moment: its queue timeout counts from the arrival of the request and had passed long ago. Now the slot is requested again every 250 ms until the deadline or until the caller leaves; a request that crashes servers is refused as before.

The new test of silence.test.ts failed before.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -83,6 +83,8 @@
       this.fail(Status.gatewayTimeout, 'no answer within the time that the route allows')
     } else if (this.delivery?.isSilent(now) === true) {
       this.handleSilence(this.delivery, now)
+    } else {
+      this.slots.tick(now)
     }
   }
 
@@ -213,6 +215,10 @@
 
   private handleRefusal (reason: Refusal, retryAfterMs: number): void {
     this.log('refused', { reason, retryAfterMs })
+    if (this.response.isStarted && reason !== Refusal.crashes && this.canRepeat()) {
+      this.slots.requestSlotLater(this.context.clock.now())
+      return
+    }
     if (reason === Refusal.quota && !this.failedResponse.mayHaveRun) {
       this.response.sendText(Status.tooManyRequests, 'the allowance is used up', retryAfterMs)
       this.finish()
--- a/src/forward/slots.ts
+++ b/src/forward/slots.ts
@@ -7,6 +7,9 @@
 /** Time between two requests for a slot at another server while a server is silent, in milliseconds. */
 const ALTERNATIVE_INTERVAL_MS = 1_000
 
+/** Time until a slot is requested again for a response that was begun, in milliseconds. */
+const RESUME_INTERVAL_MS = 250
+
 /** Receives the results of an attempt's slot requests. */
 export interface SlotListener {
   /**
@@ -37,6 +40,8 @@
   /** Request for a slot at another server, made while the current server is silent; that one may still respond. */
   private alternative: JobHandle | undefined
   private nextAlternativeAt = 0
+  /** When to request a slot again, monotonic milliseconds. */
+  private resumeAt = Infinity
   private isClosed = false
 
   /**
@@ -79,6 +84,22 @@
     this.alternative = this.submit(true, [...this.excludedServers, silentServer])
   }
 
+  /**
+   * Requests a slot again after a while, for a response that was begun.
+   *
+   * @param now - monotonic time, in milliseconds
+   */
+  requestSlotLater (now: number): void {
+    this.resumeAt = now + RESUME_INTERVAL_MS
+  }
+
+  /** @param now - monotonic time, in milliseconds */
+  tick (now: number): void {
+    if (now < this.resumeAt) return
+    this.resumeAt = Infinity
+    this.requestSlot(true)
+  }
+
   /** Withdraws the requests that are not granted yet. No more results are reported. */
   close (): void {
     this.isClosed = true
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -47,6 +47,28 @@
     expect((await rig.request(POST, 'x')).endsWith('0\r\n\r\n')).toEqual(false)
     expect(performance.now() - sentAt < 2_000).toEqual(true)
   })
+
+  // Guards against: a stream was cut off because no slot was free at the moment when its server broke.
+  it('waits for a slot until one is free', async () => {
+    const breakFirst: Script = (_, __, socket) => {
+      const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\n' +
+        'Transfer-Encoding: chunked\r\n\r\n'
+      socket.write(head + event(1), () => setTimeout(() => socket.resetAndDestroy(), 50))
+    }
+    const goOn: Script = (_, __, socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\n' +
+        `Transfer-Encoding: chunked\r\n\r\n${event(2)}0\r\n\r\n`)
+    }
+    // The queue timeout of the request is a quarter of this timeout; it has passed when the second server is listed.
+    const route_ = route({ retrySafety: RetrySafety.stream, isResumable: true, timeoutMs: 3_000 })
+    rig = (await Rig.start(deployment({ routes: [route_] }), breakFirst)).rig
+    const response = rig.request(POST, 'x')
+    await new Promise(resolve => { setTimeout(resolve, 1_500) })
+    await rig.addServer(goOn)
+    const text = await response
+    expect(text).toInclude('id: 2')
+    expect(text.endsWith('0\r\n\r\n')).toEqual(true)
+  })
 })
 
 describe('a sound server that is silent for a while', () => {
