--- a/test/rig.ts
+++ b/test/rig.ts
@@ -1,4 +1,4 @@
-import { createServer, connect, type Socket, type AddressInfo, type Server } from 'node:net'
+import { connect, type Socket } from 'node:net'
 import { createLogger } from 'bunyan'
 import { Lifecycle, MonotonicClock, SeededRandom } from '../src/base/index.js'
 import { Dispatcher, Gossip, Hub } from '../src/dispatch/index.js'
@@ -6,6 +6,9 @@
 import { ConnectionPool, type HeaderNames, Ingress } from '../src/forward/index.js'
 import { Deployment, type DeploymentParts, QuotaUnit, RetrySafety, type Route } from '../src/routing/index.js'
 import { Scheduler } from '../src/schedule/index.js'
+import { type Script, ScriptedServer } from './scriptedserver.js'
+
+export { respond, type Script, ScriptedServer } from './scriptedserver.js'
 
 /** Header names in tests; a platform adapter defines its own. */
 export const HEADER_NAMES: HeaderNames = {
@@ -67,58 +70,6 @@
   return { name, apiKeys: [`key-of-${name}`], rank, unit: QuotaUnit.requests, defaultTokens: 1, ratePerS: 0, burst: 0 }
 }
 
-/** Handles one request of a scripted server, given its raw text, its index from 0 and the connection. */
-export type Script = (request: string, index: number, socket: Socket) => void
-
-/** A TCP server that handles raw HTTP requests with a script. */
-export class ScriptedServer {
-  /** The raw text of each request, in order of arrival. */
-  readonly requests: string[] = []
-  connections = 0
-  private readonly sockets = new Set<Socket>()
-
-  private constructor (private readonly server: Server, readonly address: string) {}
-
-  static async start (script: Script): Promise<ScriptedServer> {
-    const server = createServer()
-    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
-    const scriptedServer = new ScriptedServer(server, `127.0.0.1:${(server.address() as AddressInfo).port}`)
-    server.on('connection', socket => {
-      scriptedServer.connections++
-      scriptedServer.sockets.add(socket)
-      socket.on('error', () => undefined)
-      let text = ''
-      socket.on('data', bytes => {
-        text += bytes.toString('latin1')
-        if (!isCompleteRequest(text)) return
-        scriptedServer.requests.push(text)
-        const request = text
-        text = ''
-        script(request, scriptedServer.requests.length - 1, socket)
-      })
-    })
-    return scriptedServer
-  }
-
-  close (): void {
-    this.server.close()
-    for (const socket of this.sockets) socket.destroy()
-  }
-}
-
-function isCompleteRequest (text: string): boolean {
-  const headEnd = text.indexOf('\r\n\r\n')
-  if (headEnd === -1) return false
-  const length = Number(/\r\ncontent-length: *(\d+)/i.exec(text)?.[1] ?? 0)
-  return text.length >= headEnd + 4 + length
-}
-
-/** Writes a response with a Content-Length header. */
-export function respond (socket: Socket, status: string, body: string, headers: string[] = []): void {
-  const lines = [`HTTP/1.1 ${status}`, `Content-Length: ${body.length}`, ...headers, '', body]
-  socket.write(lines.join('\r\n'))
-}
-
 /** An ingress with its own scheduler in front of scripted servers. */
 export class Rig {
   readonly fleet = new Fleet()
@@ -159,6 +110,13 @@
     this.fleet.apply({ id: server.id, revision: 2, server }, this.clock.now())
   }
 
+  /** Removes the entry of a server that is gone. */
+  remove (index: number): void {
+    const { id } = this.servers[index]!
+    this.fleet.apply({ id, revision: 3, server: undefined }, this.clock.now())
+    this.scheduler.setServers(this.fleet.listUsable(this.clock.now()))
+  }
+
   async listen (currentDeployment: Deployment): Promise<void> {
     const hub = new Hub(this.scheduler, new Gossip([], this.clock, () => undefined), this.clock)
     const dispatcher = new Dispatcher(this.clock, WIDE_LIMITS.retries)
--- /dev/null
+++ b/test/scriptedserver.ts
@@ -0,0 +1,53 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+
+/** Handles one request of a scripted server, given its raw text, its index from 0 and the connection. */
+export type Script = (request: string, index: number, socket: Socket) => void
+
+/** A TCP server that handles raw HTTP requests with a script. */
+export class ScriptedServer {
+  /** The raw text of each request, in order of arrival. */
+  readonly requests: string[] = []
+  connections = 0
+  private readonly sockets = new Set<Socket>()
+
+  private constructor (private readonly server: Server, readonly address: string) {}
+
+  static async start (script: Script): Promise<ScriptedServer> {
+    const server = createServer()
+    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    const scriptedServer = new ScriptedServer(server, `127.0.0.1:${(server.address() as AddressInfo).port}`)
+    server.on('connection', socket => {
+      scriptedServer.connections++
+      scriptedServer.sockets.add(socket)
+      socket.on('error', () => undefined)
+      let text = ''
+      socket.on('data', bytes => {
+        text += bytes.toString('latin1')
+        if (!isCompleteRequest(text)) return
+        scriptedServer.requests.push(text)
+        const request = text
+        text = ''
+        script(request, scriptedServer.requests.length - 1, socket)
+      })
+    })
+    return scriptedServer
+  }
+
+  close (): void {
+    this.server.close()
+    for (const socket of this.sockets) socket.destroy()
+  }
+}
+
+function isCompleteRequest (text: string): boolean {
+  const headEnd = text.indexOf('\r\n\r\n')
+  if (headEnd === -1) return false
+  const length = Number(/\r\ncontent-length: *(\d+)/i.exec(text)?.[1] ?? 0)
+  return text.length >= headEnd + 4 + length
+}
+
+/** Writes a response with a Content-Length header. */
+export function respond (socket: Socket, status: string, body: string, headers: string[] = []): void {
+  const lines = [`HTTP/1.1 ${status}`, `Content-Length: ${body.length}`, ...headers, '', body]
+  socket.write(lines.join('\r\n'))
+}
