--- a/standins/rows.ts
+++ b/standins/rows.ts
@@ -42,6 +42,8 @@
 /** In-memory stand-in for the platform's row store, with transactions and the change feed. */
 export class RowsStandin {
   fault: StoreFault | undefined
+  /** Tables whose calls are neither executed nor answered. */
+  readonly silentTables = new Set<string>()
   /** Number of calls received, by path. */
   readonly callCounts = new Map<string, number>()
   private readonly rows = new Map<string, StoredRow>()
@@ -133,6 +135,7 @@
 
   private route (url: URL, body: Buffer, response: ServerResponse): void {
     const table = url.searchParams.get('table') ?? ''
+    if (this.silentTables.has(table)) return
     if (url.pathname.endsWith('/rows-get')) {
       const rows = [...this.rows.values()].filter(row => row.table === table)
       this.sendReply(response, 200, { rows, truncated: false })
@@ -166,6 +169,7 @@
 
   /** Applies all writes and deletions under one new version, or none if an expected version differs. */
   private applyTransaction (transaction: TransactionRequest, response: ServerResponse): void {
+    if (transaction.writes?.some(row => this.silentTables.has(row.table)) === true) return
     const expected = transaction.expected_revision ?? []
     const hasConflict = expected.some(row =>
       (this.rows.get(`${row.table}/${row.key}`)?.row_version ?? 0) !== row.row_version)
--- a/test/deployed.test.ts
+++ b/test/deployed.test.ts
@@ -1,4 +1,4 @@
-import { type ChildProcess, spawn } from 'node:child_process'
+import { spawn } from 'node:child_process'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -6,54 +6,17 @@
 import { expect } from 'earl'
 import { request } from 'undici'
 import { RowsStandin, StoreFault } from '../standins/rows.js'
+import { type HostProcess, isReady, startHostProcess, waitFor } from './hostprocess.js'
 import { respond, ScriptedServer } from './rig.js'
 
 /** First port of the hosts under test. Fixed, since the settings name every port, as on the platform. */
 const FIRST_PORT = 28_400
 const HOST_COUNT = 2
 
-interface Host {
-  readonly process: ChildProcess
-  readonly callerAddress: string
-  readonly readinessAddress: string
-  output: string
-}
-
-async function waitFor (condition: () => Promise<boolean> | boolean): Promise<void> {
-  for (let i = 0; i < 600; i++) {
-    if (await condition()) return
-    await new Promise(resolve => setTimeout(resolve, 20))
-  }
-  expect(await condition()).toEqual(true)
-}
-
-/** Starts the bundled program as the platform does, with a settings file in the platform's format. */
-function startHost (directory: string, index: number, storeAddress: string): Host {
-  const port = FIRST_PORT + 10 * index
-  const settings = join(directory, `host-${index}.toml`)
-  writeFileSync(settings, [
-    `node = "host-${index}"`, 'ip = "127.0.0.1"', 'zone = "z"', 'region = "r"', 'bootstrap = true', 'unknown_field = 1',
-    `internal_port_range = [${port + 3},${port + 5}]`,
-    '[listen]', `front = "127.0.0.1:${port}"`, `readiness = "127.0.0.1:${port + 1}"`,
-    '[bounds]', 'grace_s = 5', 'retry_budget_ratio = 0.2', 'retry_window_s = 10', 'budget_slack = 50',
-    'quota_overshoot = 0.1', 'quota_slack = 1000', 'exposure_share = 0.1', 'exposure_slack = 50', '[platform]', `address = "${storeAddress}"`
-  ].join('\n'))
-  const env = { ...process.env, MARIGOLDVALVE_CONFIG: settings }
-  const child = spawn(process.execPath, ['target/marigoldvalve.cjs'], { env, stdio: ['ignore', 'pipe', 'pipe'] })
-  const host = { process: child, callerAddress: `127.0.0.1:${port}`, readinessAddress: `127.0.0.1:${port + 1}`, output: '' }
-  child.stdout.on('data', bytes => { host.output += String(bytes) })
-  child.stderr.on('data', bytes => { host.output += String(bytes) })
-  return host
-}
-
-async function isReady (host: Host): Promise<boolean> {
-  try {
-    const { statusCode, body } = await request(`http://${host.readinessAddress}/marigoldvalve/readyz`)
-    await body.dump()
-    return statusCode === 200
-  } catch {
-    return false
-  }
+function startHost (directory: string, index: number, storeAddress: string): HostProcess {
+  return startHostProcess({
+    directory, index, firstPort: FIRST_PORT, storeAddress, budgetSlack: 50, isFirstStart: true
+  })
 }
 
 async function startServer (): Promise<ScriptedServer> {
@@ -73,7 +36,7 @@
 
 describe('the bundled program', () => {
   const directory = mkdtempSync(join(tmpdir(), 'marigoldvalve-'))
-  const hosts: Host[] = []
+  const hosts: HostProcess[] = []
   let store: RowsStandin
   let server: ScriptedServer
   const newServers: ScriptedServer[] = []
@@ -92,7 +55,7 @@
     rmSync(directory, { recursive: true })
   })
 
-  async function call (host: Host, key = 'k1', path = '/x/1'): Promise<number> {
+  async function call (host: HostProcess, key = 'k1', path = '/x/1'): Promise<number> {
     const { statusCode, body, headers } = await request(`http://${host.callerAddress}${path}`, {
       method: 'POST',
       headers: { host: 'a.example', 'attempt-id': 'a1', 'deadline-ms': '2000', key },
--- /dev/null
+++ b/test/hostprocess.ts
@@ -0,0 +1,90 @@
+import { type ChildProcess, spawn } from 'node:child_process'
+import { writeFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { expect } from 'earl'
+import { request } from 'undici'
+
+/** Ports of one host: callers, readiness and three for links to other hosts. */
+const PORTS_PER_HOST = 10
+
+/** A process of the bundled program. */
+export interface HostProcess {
+  readonly process: ChildProcess
+  readonly callerAddress: string
+  readonly readinessAddress: string
+  output: string
+}
+
+/** Values that the settings file of a host is written from. */
+export interface HostProcessSpec {
+  /** Directory of the settings file. */
+  readonly directory: string
+  readonly index: number
+  /** First port of the host with index 0. Fixed, since the settings name every port, as on the platform. */
+  readonly firstPort: number
+  readonly storeAddress: string
+  /** Retries that the retry budget allows beyond its ratio. */
+  readonly budgetSlack: number
+  /** Whether the whole deployment starts for the first time. */
+  readonly isFirstStart: boolean
+}
+
+/**
+ * Starts the bundled program as the platform does, with a settings file in the platform's format.
+ *
+ * @param spec - values of the settings
+ * @returns the process, which is not ready yet
+ */
+export function startHostProcess (spec: HostProcessSpec): HostProcess {
+  const { directory, index, storeAddress } = spec
+  const port = spec.firstPort + PORTS_PER_HOST * index
+  const settings = join(directory, `host-${index}.toml`)
+  writeFileSync(settings, [
+    `node = "host-${index}"`, 'ip = "127.0.0.1"', 'zone = "z"', 'region = "r"', `bootstrap = ${spec.isFirstStart}`,
+    'unknown_field = 1', `internal_port_range = [${port + 3},${port + 5}]`,
+    '[listen]', `front = "127.0.0.1:${port}"`, `readiness = "127.0.0.1:${port + 1}"`,
+    '[bounds]', 'grace_s = 5', 'retry_budget_ratio = 0.2', 'retry_window_s = 10', `budget_slack = ${spec.budgetSlack}`,
+    'quota_overshoot = 0.1', 'quota_slack = 1000', 'exposure_share = 0.1', 'exposure_slack = 50',
+    '[platform]', `address = "${storeAddress}"`
+  ].join('\n'))
+  const env = { ...process.env, MARIGOLDVALVE_CONFIG: settings }
+  const child = spawn(process.execPath, ['target/marigoldvalve.cjs'], { env, stdio: ['ignore', 'pipe', 'pipe'] })
+  const host = {
+    process: child, callerAddress: `127.0.0.1:${port}`, readinessAddress: `127.0.0.1:${port + 1}`, output: ''
+  }
+  child.stdout.on('data', bytes => { host.output += String(bytes) })
+  child.stderr.on('data', bytes => { host.output += String(bytes) })
+  return host
+}
+
+/**
+ * Kills a process, unless it has ended already, and waits until it has ended.
+ *
+ * @param host - the process
+ */
+export async function killHostProcess (host: HostProcess): Promise<void> {
+  if (host.process.exitCode !== null || host.process.signalCode !== null) return
+  const ended = new Promise(resolve => host.process.once('exit', resolve))
+  host.process.kill('SIGKILL')
+  await ended
+}
+
+/** @returns whether the host reports that it is ready */
+export async function isReady (host: HostProcess): Promise<boolean> {
+  try {
+    const { statusCode, body } = await request(`http://${host.readinessAddress}/marigoldvalve/readyz`)
+    await body.dump()
+    return statusCode === 200
+  } catch {
+    return false
+  }
+}
+
+/** Waits until a condition holds; fails after 12 s. */
+export async function waitFor (condition: () => Promise<boolean> | boolean): Promise<void> {
+  for (let i = 0; i < 600; i++) {
+    if (await condition()) return
+    await new Promise(resolve => setTimeout(resolve, 20))
+  }
+  expect(await condition()).toEqual(true)
+}
