Use no retry slack on a host that has not read the members

Seen by callers' servers: more repeats than the retry budget allows. Cause: a host divides the slack of the budget by the number of members that it knows, and knows only itself until it has read the members' table. While the store does not answer for that table, each of N hosts uses the whole slack, and each is its own scheduler with a full share.

A host now uses the slack only once it has read its own row; until then it retries by the ratio alone, which needs no knowledge of other hosts. The sum over all hosts stays within the budget however many there are.

By reading: undici sends nothing twice, and reports a request as sent before its first byte.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -22,8 +22,8 @@
    */
   private readonly retryBudgets = new Map<string, RetryBudget>()
 
-  /** Number of hosts that share the retry budgets. */
-  hostCount = 1
+  /** Share of the slack of the retry budgets that this host may use, 0 to 1. */
+  retrySlackShare = 0
 
   /**
    * @param clock - monotonic time
@@ -160,7 +160,7 @@
       budget = new RetryBudget(this.retryLimits, HOST_BUDGET_SHARE)
       this.retryBudgets.set(job.service, budget)
     }
-    if (job.isRetry) return budget.take(1 / this.hostCount, now)
+    if (job.isRetry) return budget.take(this.retrySlackShare, now)
     if (!job.isCharged) budget.recordFirstSend(now)
     return true
   }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -207,12 +207,13 @@
   }
 
   /**
-   * Updates the number of hosts, and the share of the members that are linked. A newly selected scheduler has its full
-   * share as soon as all members are linked.
+   * Updates the share of the retry slack, and the share of the members that are linked. A newly selected scheduler has
+   * its full share as soon as all members are linked. A host that has not read the members uses no retry slack: any
+   * number of other hosts may use it.
    */
   private updateHostShare (): void {
     const memberCount = Math.max(1, this.directory.membership.list().length)
-    this.dispatcher.hostCount = memberCount
+    this.dispatcher.retrySlackShare = this.directory.membership.isKnown ? 1 / memberCount : 0
     this.hub.scheduler.setShare(Math.min(1, this.linkedHosts.size / memberCount), this.clock.now())
   }
 
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -45,6 +45,14 @@
     return [...members.values()]
   }
 
+  /**
+   * Whether the members' table was read: {@link Membership.list} may be incomplete until this host's own row, or its
+   * removal, has been read.
+   */
+  get isKnown (): boolean {
+    return this.entries.has(this.self.host)
+  }
+
   /**
    * Applies a row that is newer than the known row of its key.
    *
--- a/test/quota.test.ts
+++ b/test/quota.test.ts
@@ -154,7 +154,7 @@
     for (let host = 0; host < hostCount; host++) {
       const clock = new ManualClock(0)
       const dispatcher = new Dispatcher(clock, limits)
-      dispatcher.hostCount = hostCount
+      dispatcher.retrySlackShare = 1 / hostCount
       for (let i = 0; i < 100; i++) dispatcher.request(job('', {}), () => undefined)
       for (let i = 0; i < 100; i++) {
         // A scheduler that was just selected grants every retry.
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -161,6 +161,7 @@
   async listen (currentDeployment: Deployment): Promise<void> {
     const hub = new Hub(this.scheduler, new Gossip([], this.clock, () => undefined), this.clock)
     const dispatcher = new Dispatcher(this.clock, WIDE_LIMITS.retries)
+    dispatcher.retrySlackShare = 1
     dispatcher.switchScheduler(hub.connect('h', reply => dispatcher.handleReply(reply)))
     const connectionPool = new ConnectionPool()
     connectionPool.setIdleLimits(new Map(this.servers.map(({ address }) => [address, IDLE_CONNECTIONS_PER_SERVER])))
