--- a/test/retryslack.test.ts
+++ b/test/retryslack.test.ts
@@ -56,14 +56,14 @@
     rmSync(directory, { recursive: true })
   })
 
-  async function startHosts (count: number): Promise<void> {
+  async function startHosts (count: number, isFirstStart: boolean): Promise<void> {
     hosts = Array.from({ length: count }, (_, index) => startHostProcess({
       directory,
       index,
       firstPort: FIRST_PORT,
       storeAddress: store.address,
       budgetSlack: BUDGET_SLACK,
-      isFirstStart: true
+      isFirstStart
     }))
     await waitFor(async () => (await Promise.all(hosts.map(isReady))).every(Boolean))
   }
@@ -89,8 +89,19 @@
   // several hosts uses the slack of all of them.
   it('stay within the retry budget while the hosts have not read which members there are', async () => {
     store.silentTables.add('members')
-    await startHosts(5)
+    await startHosts(5, true)
     await sendToEachHost(15)
     expect(countRepeatedArrivals() <= RETRY_RATIO * requestCount + BUDGET_SLACK).toEqual(true)
   })
+
+  // Guards against repeats beyond the retry budget: hosts are killed and restarted within its window, and each new
+  // process begins with the whole slack again.
+  it('stay within the retry budget when the hosts are restarted several times within its window', async () => {
+    for (let round = 0; round < 5; round++) {
+      await startHosts(2, round === 0)
+      await sendToEachHost(10)
+      for (const host of hosts) await killHostProcess(host)
+    }
+    expect(countRepeatedArrivals() <= RETRY_RATIO * requestCount + BUDGET_SLACK).toEqual(true)
+  })
 })
