Divide the retry slack over all hosts that ran within the window

Seen by callers' servers: more repeats than the retry budget allows while hosts are restarted. Cause: a process counts only its own retries, so each process of a host began with the share of the slack that the process before it had used; and a host that stops leaves the members at once, which raised the share of all others, but sends for seconds more.

A process now uses no slack for the first window after its start, and divides the slack by the greatest number of members that it has seen within the window. The ratio part needs neither, since each request is counted by one process.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -10,6 +10,7 @@
 import { MigrationController } from './migrationcontroller.js'
 import type { Platform } from './platform.js'
 import { ReadinessServer } from './readiness.js'
+import { RetrySlack } from './retryslack.js'
 import type { GatewaySettings } from './settings.js'
 
 /** Interval of ticks, in milliseconds; well below the half second over which the scheduling limits are checked. */
@@ -50,6 +51,7 @@
   private publishedAt = 0
   private isRefreshScheduled = false
   private readonly memberEvictor = new MemberEvictor()
+  private readonly retrySlack: RetrySlack
 
   /**
    * @param settings - settings of the process
@@ -77,6 +79,7 @@
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare())
     this.dispatcher = new Dispatcher(clock, settings.limits.retries)
+    this.retrySlack = new RetrySlack(settings.limits.retries.windowMs, clock.now())
     this.schedulerSelector = new SchedulerSelector(
       host, links.ip, this.hub, this.dispatcher, gossip, clock, (scheduler, reason) => {
         log.info({ event: 'scheduler-chosen', scheduler, reason }, 'scheduler-chosen')
@@ -206,15 +209,13 @@
     return new Set([...this.hub.connectedHosts, this.settings.host])
   }
 
-  /**
-   * Updates the share of the retry slack, and the share of the members that are linked. A newly selected scheduler has
-   * its full share as soon as all members are linked. A host that has not read the members uses no retry slack: any
-   * number of other hosts may use it.
-   */
+  /** Updates the shares that depend on the members. A new scheduler has its full share once all members are linked. */
   private updateHostShare (): void {
-    const memberCount = Math.max(1, this.directory.membership.list().length)
-    this.dispatcher.retrySlackShare = this.directory.membership.isKnown ? 1 / memberCount : 0
-    this.hub.scheduler.setShare(Math.min(1, this.linkedHosts.size / memberCount), this.clock.now())
+    const { membership } = this.directory
+    const memberCount = Math.max(1, membership.list().length)
+    const now = this.clock.now()
+    this.dispatcher.retrySlackShare = this.retrySlack.update(membership.isKnown ? memberCount : undefined, now)
+    this.hub.scheduler.setShare(Math.min(1, this.linkedHosts.size / memberCount), now)
   }
 
   private deploymentChanged (deployment: Deployment): void {
