Answer 408, not 400, if the headers of a request are not read in time

Seen by callers: proper requests refused as invalid, which ends them, after their host had been stopped for longer than the header time-out. Cause: all errors that Node reports before a request is parsed, but one, got 400, the expiry of the header time-out included. After a stop, timers run before what has arrived is read. 408 says that the request was not read and never will be, so that callers retry.

The test failed before with 400.

--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -34,6 +34,13 @@
 /** Deadline of requests that state none, in milliseconds after arrival. */
 const DEFAULT_DEADLINE_MS = 60_000
 
+/** Status lines of errors that Node reports before a request is parsed, by error code; 400 for all others. */
+const PARSE_ERROR_STATUSES: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  // The request may be valid: this host may have been stopped before it read the headers.
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+
 /** HTTP server for callers' requests. */
 export class Ingress {
   private readonly server: Server
@@ -48,8 +55,7 @@
       requestTimeout: 0
     }, (message, response) => this.handleRequest(message, response))
     this.server.on('clientError', (error, socket) => {
-      const isTooLong = (error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW'
-      const status = isTooLong ? '431 Request Header Fields Too Large' : '400 Bad Request'
+      const status = PARSE_ERROR_STATUSES[(error as NodeJS.ErrnoException).code ?? ''] ?? '400 Bad Request'
       if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
       else socket.destroy()
     })
