--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -217,9 +217,7 @@
     this.log('refused', { reason, retryAfterMs })
     if (this.response.isStarted && reason !== Refusal.crashes && this.canRepeat()) {
       this.slots.requestSlotLater(this.context.clock.now())
-      return
-    }
-    if (reason === Refusal.quota && !this.failedResponse.mayHaveRun) {
+    } else if (reason === Refusal.quota && !this.failedResponse.mayHaveRun) {
       this.response.sendText(Status.tooManyRequests, 'the allowance is used up', retryAfterMs)
       this.finish()
     } else {
