--- a/test/rig.ts
+++ b/test/rig.ts
@@ -1,11 +1,11 @@
 import { createServer, connect, type Socket, type AddressInfo, type Server } from 'node:net'
-import { createLogger } from 'bunyan'
 import { Lifecycle, MonotonicClock, SeededRandom } from '../src/base/index.js'
 import { Dispatcher, Gossip, Hub } from '../src/dispatch/index.js'
 import { type BackendServer, Fleet } from '../src/fleet/index.js'
 import { ConnectionPool, type HeaderNames, Ingress } from '../src/forward/index.js'
 import { Deployment, type DeploymentParts, QuotaUnit, RetrySafety, type Route } from '../src/routing/index.js'
 import { Scheduler } from '../src/schedule/index.js'
+import { RecordedLog } from './recordedlog.js'
 
 /** Header names in tests; a platform adapter defines its own. */
 export const HEADER_NAMES: HeaderNames = {
@@ -123,6 +123,7 @@
   readonly fleet = new Fleet()
   isClosing = false
   isAccepting = true
+  readonly log = new RecordedLog()
   private readonly lifecycle = new Lifecycle()
   private readonly clock = new MonotonicClock()
   private readonly scheduler = new Scheduler(WIDE_LIMITS)
@@ -173,7 +174,7 @@
       dispatcher,
       clock: this.clock,
       random: new SeededRandom(1),
-      log: createLogger({ name: 'test', level: 60 }),
+      log: this.log.logger,
       deployment: () => currentDeployment,
       isClosing: () => this.isClosing,
       isAccepting: () => this.isAccepting
