--- /dev/null
+++ b/test/endlessmemory.test.ts
@@ -0,0 +1,93 @@
+import { afterEach, describe, it } from 'node:test'
+import { expect } from 'earl'
+import { EventSplitter } from '../src/engine/index.js'
+import { RetrySafety, type Route } from '../src/routing/index.js'
+import { FloodingScript } from './flood.js'
+import { deployment, Rig, route } from './rig.js'
+
+const POST = ['POST /a HTTP/1.1', 'x-attempt: a1']
+const HEAD = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\n'
+const CHUNKED_HEAD = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`
+
+/** Requests in flight at once, four at each server. */
+const REQUESTS = 100
+const SERVERS = 25
+
+/** Most memory that all responses in progress may use in a process that has 200 MB, of which it needs half idle. */
+const MAX_GROWTH_BYTES = 64 << 20
+
+/** Interval at which the memory in use is sampled, in milliseconds. */
+const SAMPLE_INTERVAL_MS = 5
+
+/** Latest time of the final responses to all requests, in milliseconds; before their deadline. */
+const RESPONSES_WITHIN_MS = 5_000
+
+/** Time after which a test of responses fails, in milliseconds. */
+const TEST_TIMEOUT_MS = 15_000
+
+/** Longest time in which an event of the greatest size is split from small chunks, in milliseconds. */
+const MAX_SPLIT_MS = 1_000
+
+const unsafeRoute = route({ retrySafety: RetrySafety.unsafe, timeoutMs: 8_000, objectiveMs: 4_000 })
+const streamRoute = route({ ...unsafeRoute, retrySafety: RetrySafety.stream })
+
+function chunk (text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`
+}
+
+/** @returns memory in use by objects and buffers, in bytes */
+function memoryInUse (): number {
+  const { heapUsed, arrayBuffers } = process.memoryUsage()
+  return heapUsed + arrayBuffers
+}
+
+const CASES: ReadonlyArray<readonly [name: string, route: Route, start: string, unit: string]> = [
+  ['header lines without a value', unsafeRoute, HEAD, 'a:\r\n'],
+  ['header lines', unsafeRoute, HEAD, 'a:b\r\n'],
+  ['one header value', unsafeRoute, `${HEAD}x-a: `, 'b'],
+  ['a body without a length', unsafeRoute, `${HEAD}\r\n`, 'text '],
+  ['a body in large chunks', unsafeRoute, CHUNKED_HEAD, chunk('x'.repeat(60_000))],
+  ['a body in chunks of one byte', unsafeRoute, CHUNKED_HEAD, chunk('x')],
+  ['the body of a failure', unsafeRoute, 'HTTP/1.1 500 Fault\r\nx-attempt: a1\r\n\r\n', 'bad '],
+  ['trailers', unsafeRoute, `${CHUNKED_HEAD}0\r\n`, 'a:\r\n'],
+  ['one event', streamRoute, `${HEAD}\r\nid: 1\ndata: `, 'x'],
+  ['one event in chunks of one byte', streamRoute, `${CHUNKED_HEAD}${chunk('id: 1\ndata: ')}`, chunk('x')]
+]
+
+describe('a hundred responses without end at once', () => {
+  let rig: Rig
+  afterEach(async () => { await rig.close() })
+
+  for (const [name, currentRoute, start, unit] of CASES) {
+    // Guards against the end of the process because the responses together need more memory than a host has.
+    it(`need a bounded amount of memory: ${name}`, { timeout: TEST_TIMEOUT_MS }, async () => {
+      const flooding = new FloodingScript(start, unit)
+      const scripts = Array.from({ length: SERVERS }, () => flooding.script)
+      rig = (await Rig.start(deployment({ routes: [currentRoute] }), ...scripts)).rig
+      const before = memoryInUse()
+      let peak = before
+      const sampling = setInterval(() => { peak = Math.max(peak, memoryInUse()) }, SAMPLE_INTERVAL_MS)
+      const startedAt = performance.now()
+      const texts = await Promise.all(Array.from({ length: REQUESTS }, async () => await rig.request(POST, 'x')))
+      const ms = performance.now() - startedAt
+      clearInterval(sampling)
+      expect(texts.filter(text => !/^HTTP\/1.1 50[23] /.test(text))).toEqual([])
+      expect(flooding.floods.length >= REQUESTS / 2).toEqual(true)
+      expect(ms).toBeLessThan(RESPONSES_WITHIN_MS)
+      expect(peak - before).toBeLessThan(MAX_GROWTH_BYTES)
+    })
+  }
+})
+
+describe('the event splitter', () => {
+  // Guards against a process that is busy for seconds with one long event in small chunks.
+  it('splits a long event from small chunks in a time that grows with its length only', () => {
+    const splitter = new EventSplitter(1 << 20)
+    const piece = Buffer.from('x'.repeat(16))
+    const startedAt = performance.now()
+    for (let bytes = 0; bytes < 1_000_000; bytes += piece.length) expect(splitter.push(piece)).toEqual([])
+    const events = splitter.push(Buffer.from('\n\nid: 2'))!
+    expect(performance.now() - startedAt).toBeLessThan(MAX_SPLIT_MS)
+    expect(events.map(event => event.length)).toEqual([1_000_002])
+  })
+})
