Reset the connection of a response without a length that is cut off

Callers of a route whose streams can't be resumed got what looked like a whole stream: the server sent neither a length nor chunks and ended its connection within an event, the complete events were forwarded in the same form, and the caller's connection was then ended in the ordinary way, which is the end of such a response.

Cause: CallerResponse.destroy closes the socket, which sends FIN. With chunks the missing last chunk shows that the response is cut off; without, only a reset does. The delivery itself was right ('the stream ended within an event', outcome broken).

A response that ends with its connection is now cut off by a reset, whatever the reason: an end within an event, a reset by the server, missing events, the deadline. The test of the same name failed before ('value false is not equal to true') and passes; closedelimited.test.ts and forward.test.ts: 19 passed, 0 failed.

--- a/src/forward/callerresponse.ts
+++ b/src/forward/callerresponse.ts
@@ -8,6 +8,7 @@
 export class CallerResponse {
   /** Whether the caller disconnected before the response was complete. */
   hasCallerDisconnected = false
+  private isCloseDelimited = false
 
   /**
    * @param response - Node's response object for the connection
@@ -104,6 +105,8 @@
 
   /** Closes the connection, so that a partial response can't be taken for a complete one. */
   destroy (): void {
+    // The ordinary end of the connection would complete a response that has no other end.
+    if (this.isCloseDelimited) this.response.socket?.resetAndDestroy()
     this.response.destroy()
   }
 
@@ -112,6 +115,7 @@
    * with a length added it would look complete to the caller.
    */
   private delimitByClose (): void {
+    this.isCloseDelimited = true
     this.response.shouldKeepAlive = false
     this.response.useChunkedEncodingByDefault = false
   }
