Limit what a server may send in one response

A server that sent bytes which the HTTP parser passes on to nobody was read at full speed until its silence time-out, a second or more, and its caller waited: a status line, line ends before one, interim responses, chunk sizes and extensions without end. On a stream, comments, blank lines, repeated events and events without an id were read, and partly forwarded, until the deadline (3 s in the test).

Cause: only the length of a buffered body and of one event were limited. undici limits the names and values of headers and nothing else. Ruled out: that undici's maxHeaderSize or maxResponseSize could do it; neither sees these bytes.

Now each read of the parser is preceded by a check: a response may have 8 KB of headers and framing beyond the length of its body. A body that is buffered may have 4 MB, as long as the longest request (was 16 MB), a stream 1 MB without a new event and 16 MB in all; a Content-Length beyond that is refused with the head. Comments and, where others have ids, events without one are forwarded but are not progress, nor do they count as a sign of life. A read is 4 KB at most, because the parser runs through all that it is given even if the response was aborted.

Tries that failed: a limit on bytes since the last progress alone left one-byte chunks at 137 ms of processor time for each response and a hundred of them at 15 s; writing events one by one left 1 MB of blank lines at over 0.9 s, so the events of one chunk are now written at once.

--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -1,5 +1,5 @@
-import type { Socket } from 'node:net'
-import { buildConnector, Client, type Dispatcher as UndiciDispatcher } from 'undici'
+import { type buildConnector, Client, type Dispatcher as UndiciDispatcher } from 'undici'
+import { ServerSocket } from './serversocket.js'
 
 /** Longest time to establish a connection, in milliseconds; allows for several round trips. */
 const CONNECT_TIMEOUT_MS = 500
@@ -10,8 +10,8 @@
 /** Time that an idle connection stays open if the server states none, in milliseconds. */
 const DEFAULT_KEEP_ALIVE_MS = 4_000
 
-/** Longest header block of a response, in bytes. */
-const MAX_HEADER_BYTES = 64 << 10
+/** Time without data after which the system checks whether a server still exists, in milliseconds. */
+const TCP_KEEP_ALIVE_MS = 60_000
 
 /** One connection to a backend server. It carries one request at a time. */
 export class ServerConnection {
@@ -20,39 +20,39 @@
   /** Whether the connection was reset; a response without a length that ends then is truncated. */
   wasReset = false
   private readonly client: Client
+  private socket: ServerSocket | undefined
+  private onReading = (): void => undefined
 
   /** @param address - the server's IP address and port */
   constructor (address: string) {
-    const connector = buildConnector({ timeout: CONNECT_TIMEOUT_MS })
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: DEFAULT_KEEP_ALIVE_MS,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-      maxHeaderSize: MAX_HEADER_BYTES,
-      connect: (options, callback) => {
-        connector(options, (error, socket) => {
-          if (error !== null) {
-            callback(error, null)
-            return
-          }
-          this.detectReset(socket as Socket)
-          callback(null, socket as Socket)
-        })
-      }
+      connect: (options, callback) => this.connect(options, callback)
     })
     this.client.on('disconnect', () => { this.isUsable = false })
     this.client.on('connectionError', () => { this.isUsable = false })
   }
 
+  /** Number of bytes that were received and parsed. */
+  get parsedBytes (): number {
+    return this.socket?.parsedBytes ?? 0
+  }
+
   /**
    * Sends a request.
    *
    * @param options - the request
    * @param handler - receives the response
+   * @param onReading - called before more bytes are parsed; may close the connection
    */
-  dispatch (options: UndiciDispatcher.DispatchOptions, handler: UndiciDispatcher.DispatchHandler): void {
+  dispatch (
+    options: UndiciDispatcher.DispatchOptions, handler: UndiciDispatcher.DispatchHandler, onReading: () => void
+  ): void {
+    this.onReading = onReading
     this.client.dispatch(options, handler)
   }
 
@@ -63,7 +63,24 @@
     this.client.destroy().catch(() => undefined)
   }
 
-  private detectReset (socket: Socket): void {
+  private connect (options: buildConnector.Options, callback: buildConnector.Callback): void {
+    const socket = new ServerSocket(() => this.onReading())
+    const handleError = (error: Error): void => callback(error, null)
+    socket.once('error', handleError)
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
+      socket.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`))
+    })
+    socket.connect({ host: options.hostname, port: Number(options.port), noDelay: true }, () => {
+      socket.setTimeout(0)
+      socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS)
+      socket.off('error', handleError)
+      this.socket = socket
+      this.detectReset(socket)
+      callback(null, socket)
+    })
+  }
+
+  private detectReset (socket: ServerSocket): void {
     socket.on('error', () => {
       this.wasReset = true
       this.isUsable = false
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -8,11 +8,10 @@
 import type { EventSequencer } from './eventsequencer.js'
 import { Exchange, type ResponseHandler } from './exchange.js'
 import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders } from './headers.js'
+import { buildOutgoingHeaders } from './outgoingheaders.js'
+import { ReceiveLimit } from './receivelimit.js'
 import { Status } from './status.js'
 
-/** Longest body that is buffered until the response is complete, in bytes. */
-const MAX_BUFFERED_BYTES = 16 << 20
-
 /** A server is silent if it sends nothing for this time or twice the latency objective, if longer; in milliseconds. */
 const MIN_SILENCE_MS = 1_000
 
@@ -60,7 +59,7 @@
   private headers: RawHeaders = []
   private isCloseDelimited = false
   private readonly chunks: Buffer[] = []
-  private bufferedBytes = 0
+  private readonly receiveLimit = new ReceiveLimit()
   private isStreaming = false
   private isFinished = false
 
@@ -85,7 +84,8 @@
     this.sentAt = this.lastReceivedAt = context.clock.now()
     this.connection = context.connectionPool.acquire(server.address)
     const { method, target, body } = request
-    const outgoing = { method, target, headers: this.outgoingHeaders(), body: body.length > 0 ? body : null }
+    const headers = buildOutgoingHeaders(context.headerNames, request, server, sequencer.lastEventId, this.sentAt)
+    const outgoing = { method, target, headers, body: body.length > 0 ? body : null }
     this.exchange = new Exchange(this.connection, outgoing, this)
   }
 
@@ -127,6 +127,12 @@
     this.wasSent = true
   }
 
+  onReading (bytes: number): void {
+    if (this.isFinished) return
+    const excess = this.receiveLimit.checkOverhead(bytes)
+    if (excess !== undefined) this.abortAsBroken(excess)
+  }
+
   onHead (status: number, headers: RawHeaders): void {
     if (this.isFinished) return
     const { attemptId, route } = this.request
@@ -139,14 +145,16 @@
     this.headers = endToEndHeaders(headers, REWRITTEN_HEADERS)
     this.isCloseDelimited = isCloseDelimited(headers)
     this.isStreaming = route.retrySafety === RetrySafety.stream && status >= 200 && status < 300
-    if (!this.isStreaming) this.recordArrival()
+    const excess = this.receiveLimit.recordHead(this.isStreaming, this.bodyLength(status, headers))
+    if (excess !== undefined) this.abortAsBroken(excess)
+    else if (!this.isStreaming) this.recordArrival()
   }
 
   onBody (bytes: Buffer): boolean {
     if (this.isFinished) return true
-    if (this.isStreaming) return this.forwardEvents(bytes)
-    this.bufferedBytes += bytes.length
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.abortAsBroken('the response body is too long to buffer')
+    const excess = this.receiveLimit.recordBody(bytes.length)
+    if (excess !== undefined) this.abortAsBroken(excess)
+    else if (this.isStreaming) return this.forwardEvents(bytes)
     else this.chunks.push(Buffer.from(bytes))
     return true
   }
@@ -186,6 +194,12 @@
     this.listener.onEnded(this, Outcome.unsendable, undefined)
   }
 
+  /** Returns the stated length of the response's body in bytes; 0 if there is no body or its length is not stated. */
+  private bodyLength (status: number, headers: RawHeaders): number {
+    if (this.request.method === 'HEAD' || status === Status.notModified) return 0
+    return Number(findHeader(headers, 'content-length') ?? 0)
+  }
+
   private classifyResponse (): Outcome {
     if (this.status === Status.misdirected) return Outcome.misdirected
     if (findHeader(this.headers, this.context.headerNames.notRun) !== undefined) return Outcome.rejected
@@ -197,9 +211,11 @@
     const { events, isValid } = this.sequencer.push(bytes)
     let canContinue = true
     for (const event of events) {
-      this.recordArrival()
+      if (event.isProgress) this.recordArrival()
+    }
+    if (events.length > 0) {
       this.startResponse()
-      canContinue = this.response.write(event)
+      canContinue = this.response.write(Buffer.concat(events.map(event => event.bytes)))
     }
     if (!isValid) this.abortAsBroken('an event is missing or too long')
     if (!canContinue && !this.isFinished) this.response.onDrain(() => this.exchange.resume())
@@ -215,6 +231,7 @@
   private recordArrival (): void {
     const now = this.context.clock.now()
     this.eventCount++
+    this.receiveLimit.recordEvent()
     if (this.firstReceivedAt !== undefined) {
       this.longestEventGapMs = Math.max(this.longestEventGapMs, now - this.lastReceivedAt)
       this.lastReceivedAt = now
@@ -230,19 +247,4 @@
     this.exchange.abort()
     this.listener.onEnded(this, Outcome.broken, undefined)
   }
-
-  private outgoingHeaders (): string[] {
-    const { headerNames: names } = this.context
-    const { organisation, deadlineAt, headers } = this.request
-    const dropped = new Set(['content-length', 'expect', names.key, names.deadline, names.organisation, names.serverId,
-      ...names.reserved])
-    const lastEventId = this.sequencer.lastEventId
-    if (lastEventId !== undefined) dropped.add(names.lastEventId)
-    const remainingMs = Math.max(1, Math.floor(deadlineAt - this.sentAt))
-    const outgoing = [...endToEndHeaders(headers, dropped), names.deadline, String(remainingMs),
-      names.serverId, this.server.id]
-    if (organisation !== undefined) outgoing.push(names.organisation, organisation.name)
-    if (lastEventId !== undefined) outgoing.push(names.lastEventId, String(lastEventId))
-    return outgoing
-  }
 }
--- a/src/forward/eventid.ts
+++ b/src/forward/eventid.ts
@@ -1,4 +1,5 @@
 const ID_FIELD = Buffer.from('id:')
+const DATA_FIELD = Buffer.from('data')
 const NEWLINE = 10
 
 /**
@@ -10,7 +11,7 @@
 export function parseEventId (event: Buffer): number | undefined {
   for (let at = 0; at < event.length;) {
     const end = event.indexOf(NEWLINE, at)
-    if (event.subarray(at, at + ID_FIELD.length).equals(ID_FIELD)) {
+    if (hasBytesAt(event, at, ID_FIELD)) {
       const value = Number(event.toString('latin1', at + ID_FIELD.length, end === -1 ? event.length : end).trim())
       return Number.isSafeInteger(value) ? value : undefined
     }
@@ -19,3 +20,21 @@
   }
   return undefined
 }
+
+/**
+ * @param event - one complete server-sent event
+ * @returns whether it has data; without, it is a comment or empty
+ */
+export function hasEventData (event: Buffer): boolean {
+  for (let at = 0; at < event.length; at = event.indexOf(NEWLINE, at) + 1) {
+    if (hasBytesAt(event, at, DATA_FIELD)) return true
+  }
+  return false
+}
+
+function hasBytesAt (event: Buffer, at: number, expected: Buffer): boolean {
+  for (let i = 0; i < expected.length; i++) {
+    if (event[at + i] !== expected[i]) return false
+  }
+  return true
+}
--- a/src/forward/eventsequencer.ts
+++ b/src/forward/eventsequencer.ts
@@ -1,13 +1,19 @@
 import { EventSplitter } from '../engine/index.js'
-import { parseEventId } from './eventid.js'
+import { hasEventData, parseEventId } from './eventid.js'
 
 /** Longest event that is accepted, in bytes. */
 const MAX_EVENT_BYTES = 1 << 20
 
+/** A complete event that may be forwarded. */
+export interface SequencedEvent {
+  readonly bytes: Buffer
+  /** Whether it continues the stream; false for comments, and for events without an id if others have one. */
+  readonly isProgress: boolean
+}
+
 /** Result of adding bytes to an event stream. */
 export interface SequencedEvents {
-  /** The complete events that may be forwarded. */
-  readonly events: readonly Buffer[]
+  readonly events: readonly SequencedEvent[]
   /** Whether the stream is still valid: no event is missing or too long. */
   readonly isValid: boolean
 }
@@ -49,7 +55,7 @@
     const complete = this.splitter.push(bytes)
     if (complete === undefined) return { events: [], isValid: false }
     this.partialBytes += bytes.length
-    const events: Buffer[] = []
+    const events: SequencedEvent[] = []
     for (const event of complete) {
       this.partialBytes -= event.length
       const id = parseEventId(event)
@@ -57,8 +63,9 @@
         if (id <= this.lastId) continue
         if (id > this.lastId + 1) return { events, isValid: false }
       }
+      const isProgress = id !== undefined || (this.lastId === undefined && hasEventData(event))
       this.lastId = id ?? this.lastId
-      events.push(event)
+      events.push({ bytes: event, isProgress })
     }
     return { events, isValid: true }
   }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -14,6 +14,12 @@
 export interface ResponseHandler {
   /** Called when the connection starts to write the request. */
   onSent (): void
+  /**
+   * Called before further bytes of the server are parsed.
+   *
+   * @param bytes - bytes that were received and parsed since the request was sent
+   */
+  onReading (bytes: number): void
   /**
    * Called when the final status and headers arrive.
    *
@@ -61,12 +67,13 @@
   constructor (
     private readonly connection: ServerConnection, request: OutgoingRequest, private readonly handler: ResponseHandler
   ) {
+    const bytesBefore = connection.parsedBytes
     connection.dispatch({
       method: request.method as UndiciDispatcher.HttpMethod,
       path: request.target,
       headers: request.headers as string[],
       body: request.body
-    }, this)
+    }, this, () => { if (!this.isDone) handler.onReading(connection.parsedBytes - bytesBefore) })
     this.isConstructed = true
   }
 
--- /dev/null
+++ b/src/forward/serversocket.ts
@@ -0,0 +1,27 @@
+import { Socket } from 'node:net'
+
+/**
+ * Most bytes that are handed to the HTTP parser at once, in bytes. The parser runs through all of them even if the
+ * response is aborted meanwhile.
+ */
+const MAX_READ_BYTES = 4 << 10
+
+/** A connection's socket, which reports each read of the HTTP parser before it happens. */
+export class ServerSocket extends Socket {
+  /** @param onReading - called before bytes are handed to the parser; may destroy the socket */
+  constructor (private readonly onReading: () => void) {
+    super()
+  }
+
+  /** Number of bytes that the parser has received. */
+  get parsedBytes (): number {
+    return this.bytesRead - this.readableLength
+  }
+
+  override read (size?: number): unknown {
+    if (size !== undefined || this.readableLength === 0) return super.read(size)
+    this.onReading()
+    if (this.destroyed) return null
+    return super.read(Math.min(this.readableLength, MAX_READ_BYTES))
+  }
+}
--- a/src/forward/status.ts
+++ b/src/forward/status.ts
@@ -1,5 +1,6 @@
 /** HTTP statuses that the scheduler sends or checks for, by RFC 9110 and RFC 6585. */
 export const Status = {
+  notModified: 304,
   badRequest: 400,
   unauthorised: 401,
   notFound: 404,
