Limit the memory of all buffered responses together

Cause: each response had a limit of its own and nothing limited their sum.

Responses that are buffered, and incomplete events of streams, now share 8 MB. Beyond that the largest is aborted as broken, with a line in the log: sound responses of the users' deployments have a few kilobytes, so one without end is always the largest. A smaller limit for each response would have to be 80 KB for the same sum. Bodies are collected in one buffer.

Not limited: complete responses whose callers don't read.

--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from '../dispatch/index.js'
 import type { Fleet } from '../fleet/index.js'
 import type { Deployment } from '../routing/index.js'
+import type { BufferBudget } from './bufferbudget.js'
 import type { ConnectionPool } from './connectionpool.js'
 import type { HeaderNames } from './headernames.js'
 
@@ -14,6 +15,7 @@
   readonly dataCentre: string
   readonly fleet: Fleet
   readonly connectionPool: ConnectionPool
+  readonly bufferBudget: BufferBudget
   readonly dispatcher: Dispatcher
   /** Clock of monotonic time. */
   readonly clock: Clock
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -1,10 +1,13 @@
+import { ByteBuffer } from '../base/index.js'
 import type { BackendServer } from '../fleet/index.js'
 import { RetrySafety } from '../routing/index.js'
 import { Outcome } from '../schedule/index.js'
+import type { BufferOwner } from './bufferbudget.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
 import type { ServerConnection } from './connection.js'
 import type { ForwardContext } from './context.js'
+import type { DeliveryListener } from './deliverylistener.js'
 import type { EventSequencer } from './eventsequencer.js'
 import { Exchange, type ResponseHandler } from './exchange.js'
 import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders } from './headers.js'
@@ -27,23 +30,8 @@
   readonly isCloseDelimited: boolean
 }
 
-/** Receives the progress of a delivery. */
-export interface DeliveryListener {
-  /** Called when the first event arrives, or the headers of a response that is not streamed. */
-  onStarted (): void
-
-  /**
-   * Called when the delivery is finished.
-   *
-   * @param delivery - the delivery
-   * @param outcome - the outcome of the request at its server
-   * @param result - the complete response; undefined if there is none or its events were forwarded already
-   */
-  onEnded (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void
-}
-
 /** One send of a caller's request to one server. */
-export class Delivery implements ResponseHandler {
+export class Delivery implements ResponseHandler, BufferOwner {
   /** Whether the server may have received the request. */
   wasSent = false
   /** Why there is no complete response; empty if there is one. */
@@ -58,7 +46,7 @@
   private status = 0
   private headers: RawHeaders = []
   private isCloseDelimited = false
-  private readonly chunks: Buffer[] = []
+  private readonly body = new ByteBuffer()
   private readonly receiveLimit = new ReceiveLimit()
   private isStreaming = false
   private isFinished = false
@@ -111,7 +99,7 @@
 
   /** Aborts the delivery; the listener is not called any more. */
   abort (): void {
-    this.isFinished = true
+    this.finish()
     this.exchange.abort()
   }
 
@@ -155,7 +143,7 @@
     const excess = this.receiveLimit.recordBody(bytes.length)
     if (excess !== undefined) this.abortAsBroken(excess)
     else if (this.isStreaming) return this.forwardEvents(bytes)
-    else this.chunks.push(Buffer.from(bytes))
+    else this.buffer(bytes)
     return true
   }
 
@@ -165,7 +153,7 @@
       this.abortAsBroken('the stream ended within an event')
       return
     }
-    this.isFinished = true
+    this.finish()
     this.context.connectionPool.release(this.server.address, this.connection)
     if (this.isStreaming) {
       this.startResponse()
@@ -173,25 +161,21 @@
     } else {
       this.lastReceivedAt = this.context.clock.now()
       const { status, headers, isCloseDelimited } = this
-      const result = { status, headers, isCloseDelimited, body: Buffer.concat(this.chunks) }
+      const result = { status, headers, isCloseDelimited, body: this.body.bytes }
       this.listener.onEnded(this, this.classifyResponse(), result)
     }
   }
 
   onFailure (error: Error): void {
-    if (this.isFinished) return
-    this.isFinished = true
-    this.failureReason = error.message
-    this.connection.close()
-    this.listener.onEnded(this, this.wasSent ? Outcome.broken : Outcome.unreachable, undefined)
+    if (!this.isFinished) this.fail(this.wasSent ? Outcome.broken : Outcome.unreachable, error.message)
   }
 
   onUnsendable (error: Error): void {
-    if (this.isFinished) return
-    this.isFinished = true
-    this.failureReason = error.message
-    this.connection.close()
-    this.listener.onEnded(this, Outcome.unsendable, undefined)
+    if (!this.isFinished) this.fail(Outcome.unsendable, error.message)
+  }
+
+  onBufferExhausted (): void {
+    this.abortAsBroken('the buffers of all responses are full, and this one is the largest')
   }
 
   /** Returns the stated length of the response's body in bytes; 0 if there is no body or its length is not stated. */
@@ -218,6 +202,7 @@
       canContinue = this.response.write(Buffer.concat(events.map(event => event.bytes)))
     }
     if (!isValid) this.abortAsBroken('an event is missing or too long')
+    else this.context.bufferBudget.set(this, this.sequencer.bufferedBytes)
     if (!canContinue && !this.isFinished) this.response.onDrain(() => this.exchange.resume())
     return canContinue
   }
@@ -241,10 +226,25 @@
     this.listener.onStarted()
   }
 
-  private abortAsBroken (reason: string): void {
+  private finish (): void {
     this.isFinished = true
+    this.context.bufferBudget.set(this, 0)
+  }
+
+  private buffer (bytes: Buffer): void {
+    this.body.append(bytes)
+    this.context.bufferBudget.set(this, this.body.capacity)
+  }
+
+  private abortAsBroken (reason: string): void {
+    this.fail(Outcome.broken, reason)
+  }
+
+  private fail (outcome: Outcome, reason: string): void {
+    this.finish()
     this.failureReason = reason
     this.exchange.abort()
-    this.listener.onEnded(this, Outcome.broken, undefined)
+    this.connection.close()
+    this.listener.onEnded(this, outcome, undefined)
   }
 }
--- /dev/null
+++ b/src/forward/deliverylistener.ts
@@ -0,0 +1,17 @@
+import type { Outcome } from '../schedule/index.js'
+import type { BufferedResponse, Delivery } from './delivery.js'
+
+/** Receives the progress of a delivery. */
+export interface DeliveryListener {
+  /** Called when the first event arrives, or the headers of a response that is not streamed. */
+  onStarted (): void
+
+  /**
+   * Called when the delivery is finished.
+   *
+   * @param delivery - the delivery
+   * @param outcome - the outcome of the request at its server
+   * @param result - the complete response; undefined if there is none or its events were forwarded already
+   */
+  onEnded (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void
+}
--- a/src/forward/eventsequencer.ts
+++ b/src/forward/eventsequencer.ts
@@ -39,6 +39,11 @@
     return this.partialBytes === 0
   }
 
+  /** Memory of the partial event, in bytes. */
+  get bufferedBytes (): number {
+    return this.splitter.bufferedBytes
+  }
+
   /** Discards a partial event, before another server continues the stream. */
   discardPartialEvent (): void {
     this.splitter = new EventSplitter(MAX_EVENT_BYTES)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 import type Logger from 'bunyan'
 import { type Clock, Lifecycle, SystemRandom, toError } from '../base/index.js'
 import { Dispatcher, DispatchListener, Hub, SchedulerSelector } from '../dispatch/index.js'
-import { ConnectionPool, Ingress } from '../forward/index.js'
+import { BufferBudget, ConnectionPool, Ingress } from '../forward/index.js'
 import type { Deployment } from '../routing/index.js'
 import { Scheduler } from '../schedule/index.js'
 import { MemberEvictor } from './memberevictor.js'
@@ -87,6 +87,7 @@
       dataCentre,
       fleet,
       connectionPool: this.connectionPool,
+      bufferBudget: new BufferBudget(),
       dispatcher: this.dispatcher,
       clock,
       random: new SystemRandom(),
--- a/test/endlessmemory.test.ts
+++ b/test/endlessmemory.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl'
 import { SeededRandom } from '../src/base/index.js'
 import { EventSplitter } from '../src/engine/index.js'
+import { BufferBudget, type BufferOwner } from '../src/forward/index.js'
 import { RetrySafety, type Route } from '../src/routing/index.js'
 import { FloodingScript } from './flood.js'
 import { deployment, Rig, route } from './rig.js'
@@ -80,6 +81,25 @@
   }
 })
 
+describe('the buffer budget', () => {
+  // Guards against a sound response that is aborted because another server sends without end.
+  it('aborts the largest response, not the one that grows last', () => {
+    const aborted: string[] = []
+    const budget = new BufferBudget()
+    const owner = (name: string): BufferOwner => ({ onBufferExhausted: () => { aborted.push(name) } })
+    const [small, large, larger] = [owner('small'), owner('large'), owner('larger')]
+    budget.set(large, 3 << 20)
+    budget.set(larger, 4 << 20)
+    budget.set(small, 1 << 20)
+    expect(aborted).toEqual([])
+    budget.set(small, 2 << 20)
+    expect(aborted).toEqual(['larger'])
+    budget.set(small, 0)
+    budget.set(small, 5 << 20)
+    expect(aborted).toEqual(['larger'])
+  })
+})
+
 describe('the event splitter', () => {
   // Guards against a process that is busy for seconds with one long event in small chunks.
   it('splits a long event from small chunks in a time that grows with its length only', () => {
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -2,7 +2,7 @@
 import { Lifecycle, MonotonicClock, SeededRandom } from '../src/base/index.js'
 import { Dispatcher, Gossip, Hub } from '../src/dispatch/index.js'
 import { type BackendServer, Fleet } from '../src/fleet/index.js'
-import { ConnectionPool, type HeaderNames, Ingress } from '../src/forward/index.js'
+import { BufferBudget, ConnectionPool, type HeaderNames, Ingress } from '../src/forward/index.js'
 import { Deployment, type DeploymentParts, QuotaUnit, RetrySafety, type Route } from '../src/routing/index.js'
 import { Scheduler } from '../src/schedule/index.js'
 import { RecordedLog } from './recordedlog.js'
@@ -171,6 +171,7 @@
       dataCentre: 'd',
       fleet: this.fleet,
       connectionPool,
+      bufferBudget: new BufferBudget(),
       dispatcher,
       clock: this.clock,
       random: new SeededRandom(1),
