Close an idle connection on which a server sends bytes

Cause: the HTTP parser skips line ends before a response, so undici reports nothing for them; any other byte on an idle connection closes it already. No response is due on an idle connection, so the pool now closes it at the first read and logs 'unexpected-bytes' with the address.

--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -56,6 +56,11 @@
     this.client.dispatch(options, handler)
   }
 
+  /** @param onReading - called before bytes are parsed that the server sends while the connection is idle */
+  setIdle (onReading: () => void): void {
+    this.onReading = onReading
+  }
+
   /** Closes the connection and aborts a request that is in progress. */
   close (): void {
     this.isUsable = false
--- a/src/forward/connectionpool.ts
+++ b/src/forward/connectionpool.ts
@@ -1,3 +1,4 @@
+import type Logger from 'bunyan'
 import { ServerConnection } from './connection.js'
 
 /** This host's idle connections to backend servers, by address. */
@@ -5,6 +6,9 @@
   private readonly idle = new Map<string, ServerConnection[]>()
   private idleLimits: ReadonlyMap<string, number> = new Map()
 
+  /** @param log - receives a record of each connection that a server does not leave idle */
+  constructor (private readonly log: Logger) {}
+
   /**
    * Returns the idle connection that was used last, so that unneeded connections reach their idle time-out,
    * or a new one.
@@ -34,6 +38,7 @@
       connection.close()
       return
     }
+    connection.setIdle(() => this.handleUnexpectedBytes(address, connection))
     if (connections === undefined) this.idle.set(address, [connection])
     else connections.push(connection)
   }
@@ -55,4 +60,9 @@
   close (): void {
     this.setIdleLimits(new Map())
   }
+
+  private handleUnexpectedBytes (address: string, connection: ServerConnection): void {
+    this.log.debug({ event: 'unexpected-bytes', address }, 'unexpected-bytes')
+    connection.close()
+  }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -36,7 +36,7 @@
 /** A host process: forwards requests of callers to backend servers, and schedules requests if selected to. */
 export class Gateway {
   private readonly lifecycle = new Lifecycle()
-  private readonly connectionPool = new ConnectionPool()
+  private readonly connectionPool: ConnectionPool
   private readonly hub: Hub
   private readonly dispatcher: Dispatcher
   private readonly schedulerSelector: SchedulerSelector
@@ -74,6 +74,7 @@
     }, clock, log)
     const { gossip, fleet } = this.directory
     const scheduler = new Scheduler(settings.limits, settings.isFirstStart)
+    this.connectionPool = new ConnectionPool(log)
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare())
     this.dispatcher = new Dispatcher(clock, settings.limits.retries)
--- a/test/connectionpool.test.ts
+++ b/test/connectionpool.test.ts
@@ -3,6 +3,7 @@
 import { ConnectionPool } from '../src/forward/index.js'
 import { computeIdleLimits } from '../src/gateway/idlelimits.js'
 import { server } from './jobs.js'
+import { RecordedLog } from './recordedlog.js'
 import { deployment } from './rig.js'
 
 function deploymentWithLimit (maxConnections: number): ReturnType<typeof deployment> {
@@ -23,7 +24,7 @@
   })
 
   it('are kept up to the limit, and closed when it falls or the server is removed', () => {
-    const pool = new ConnectionPool()
+    const pool = new ConnectionPool(new RecordedLog().logger)
     pool.setIdleLimits(new Map([['127.0.0.1:9', 2]]))
     const connections = [1, 2, 3].map(() => pool.acquire('127.0.0.1:9'))
     for (const connection of connections) pool.release('127.0.0.1:9', connection)
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -163,7 +163,7 @@
     const hub = new Hub(this.scheduler, new Gossip([], this.clock, () => undefined), this.clock)
     const dispatcher = new Dispatcher(this.clock, WIDE_LIMITS.retries)
     dispatcher.switchScheduler(hub.connect('h', reply => dispatcher.handleReply(reply)))
-    const connectionPool = new ConnectionPool()
+    const connectionPool = new ConnectionPool(this.log.logger)
     connectionPool.setIdleLimits(new Map(this.servers.map(({ address }) => [address, IDLE_CONNECTIONS_PER_SERVER])))
     this.scheduler.setOrganisations(currentDeployment.organisations, this.clock.now())
     const ingress = new Ingress({
