Do not take a server for silent that waits for a slow caller

A caller that did not read its stream for a while had its request sent again to another server: the first one got outcome 'silent', though its stream was complete or waited for the caller, and the caller's next pause cost another server (two sends in 2.5 s in the test).

Cause: back-pressure stops reading from the server, so no event arrives, and isSilent took the age of the last event for the server's doing. While reading is paused a server is not silent now; its time starts anew when the caller has read. The request's deadline still applies (slowcaller.test.ts, 'stops the stream at its server, which is closed at the deadline').

--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -10,10 +10,10 @@
 import type { DeliveryListener } from './deliverylistener.js'
 import type { EventSequencer } from './eventsequencer.js'
 import { Exchange, type ResponseHandler } from './exchange.js'
-import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders } from './headers.js'
+import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders, statedBodyLength } from './headers.js'
 import { buildOutgoingHeaders } from './outgoingheaders.js'
 import { ReceiveLimit } from './receivelimit.js'
-import { Status } from './status.js'
+import { classifyResponse } from './responseoutcome.js'
 
 /** A server is silent if it sends nothing for this time or twice the latency objective, if longer; in milliseconds. */
 const MIN_SILENCE_MS = 1_000
@@ -49,6 +49,8 @@
   private readonly body = new ByteBuffer()
   private readonly receiveLimit = new ReceiveLimit()
   private isStreaming = false
+  /** Whether reading is paused until the caller has read what was forwarded. */
+  private isWaitingForCaller = false
   private isFinished = false
 
   /**
@@ -108,6 +110,7 @@
    * @returns whether the server has sent nothing for so long that the request is to be abandoned there
    */
   isSilent (now: number): boolean {
+    if (this.isWaitingForCaller) return false
     return now - this.lastReceivedAt > Math.max(MIN_SILENCE_MS, 2 * this.request.route.objectiveMs)
   }
 
@@ -133,7 +136,8 @@
     this.headers = endToEndHeaders(headers, REWRITTEN_HEADERS)
     this.isCloseDelimited = isCloseDelimited(headers)
     this.isStreaming = route.retrySafety === RetrySafety.stream && status >= 200 && status < 300
-    const excess = this.receiveLimit.recordHead(this.isStreaming, this.bodyLength(status, headers))
+    const bodyLength = statedBodyLength(this.request.method, status, headers)
+    const excess = this.receiveLimit.recordHead(this.isStreaming, bodyLength)
     if (excess !== undefined) this.abortAsBroken(excess)
     else if (!this.isStreaming) this.recordArrival()
   }
@@ -143,7 +147,10 @@
     const excess = this.receiveLimit.recordBody(bytes.length)
     if (excess !== undefined) this.abortAsBroken(excess)
     else if (this.isStreaming) return this.forwardEvents(bytes)
-    else this.buffer(bytes)
+    else {
+      this.body.append(bytes)
+      this.context.bufferBudget.set(this, this.body.capacity)
+    }
     return true
   }
 
@@ -162,7 +169,7 @@
       this.lastReceivedAt = this.context.clock.now()
       const { status, headers, isCloseDelimited } = this
       const result = { status, headers, isCloseDelimited, body: this.body.bytes }
-      this.listener.onEnded(this, this.classifyResponse(), result)
+      this.listener.onEnded(this, classifyResponse(status, headers, this.context.headerNames), result)
     }
   }
 
@@ -178,18 +185,6 @@
     this.abortAsBroken('the buffers of all responses are full, and this one is the largest')
   }
 
-  /** Returns the stated length of the response's body in bytes; 0 if there is no body or its length is not stated. */
-  private bodyLength (status: number, headers: RawHeaders): number {
-    if (this.request.method === 'HEAD' || status === Status.notModified) return 0
-    return Number(findHeader(headers, 'content-length') ?? 0)
-  }
-
-  private classifyResponse (): Outcome {
-    if (this.status === Status.misdirected) return Outcome.misdirected
-    if (findHeader(this.headers, this.context.headerNames.notRun) !== undefined) return Outcome.rejected
-    return this.status >= Status.serverError ? Outcome.failed : Outcome.done
-  }
-
   /** @returns whether to continue reading at once */
   private forwardEvents (bytes: Buffer): boolean {
     const { events, isValid } = this.sequencer.push(bytes)
@@ -203,10 +198,19 @@
     }
     if (!isValid) this.abortAsBroken('an event is missing or too long')
     else this.context.bufferBudget.set(this, this.sequencer.bufferedBytes)
-    if (!canContinue && !this.isFinished) this.response.onDrain(() => this.exchange.resume())
+    if (!canContinue && !this.isFinished) this.waitForCaller()
     return canContinue
   }
 
+  private waitForCaller (): void {
+    this.isWaitingForCaller = true
+    this.response.onDrain(() => {
+      this.isWaitingForCaller = false
+      this.lastReceivedAt = this.context.clock.now()
+      this.exchange.resume()
+    })
+  }
+
   /** Starts the response to the caller. If a second server continues a stream, the headers of the first remain. */
   private startResponse (): void {
     if (!this.response.isStarted) this.response.start(this.status, this.headers, this.isCloseDelimited)
@@ -231,11 +235,6 @@
     this.context.bufferBudget.set(this, 0)
   }
 
-  private buffer (bytes: Buffer): void {
-    this.body.append(bytes)
-    this.context.bufferBudget.set(this, this.body.capacity)
-  }
-
   private abortAsBroken (reason: string): void {
     this.fail(Outcome.broken, reason)
   }
--- a/src/forward/headers.ts
+++ b/src/forward/headers.ts
@@ -1,3 +1,5 @@
+import { Status } from './status.js'
+
 /** Hop-by-hop headers, by RFC 9110 and RFC 9112. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set(['connection', 'keep-alive', 'proxy-authenticate',
   'proxy-authorization', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade'])
@@ -51,3 +53,14 @@
 export function isCloseDelimited (headers: RawHeaders): boolean {
   return findHeader(headers, 'content-length') === undefined && findHeader(headers, 'transfer-encoding') === undefined
 }
+
+/**
+ * @param method - the method of the request
+ * @param status - the status of the response
+ * @param headers - the headers of the response
+ * @returns the length of the body that the headers state, in bytes; 0 if there is no body or its length is not stated
+ */
+export function statedBodyLength (method: string, status: number, headers: RawHeaders): number {
+  if (method === 'HEAD' || status === Status.notModified) return 0
+  return Number(findHeader(headers, 'content-length') ?? 0)
+}
