Do not time out a connection that was established while the process was busy

The connector that came with the limit on responses replaced undici's, which looks at the network once more before it times out. Without that, a process that had no processor time for half a second gave up connections that stood already.

Not run against undici's connector.

--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -72,9 +72,10 @@
     const socket = new ServerSocket(() => this.onReading())
     const handleError = (error: Error): void => callback(error, null)
     socket.once('error', handleError)
-    socket.setTimeout(CONNECT_TIMEOUT_MS, () => {
-      socket.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`))
-    })
+    // If the process was busy, the connection may be established already, which it learns before the check.
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => setImmediate(() => {
+      if (socket.connecting) socket.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`))
+    }))
     socket.connect({ host: options.hostname, port: Number(options.port), noDelay: true }, () => {
       socket.setTimeout(0)
       socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS)
--- a/test/connectionpool.test.ts
+++ b/test/connectionpool.test.ts
@@ -4,7 +4,10 @@
 import { computeIdleLimits } from '../src/gateway/idlelimits.js'
 import { server } from './jobs.js'
 import { RecordedLog } from './recordedlog.js'
-import { deployment } from './rig.js'
+import { deployment, respond, ScriptedServer } from './rig.js'
+
+/** Time for which the process is busy, in milliseconds; longer than the time to establish a connection. */
+const BUSY_MS = 800
 
 function deploymentWithLimit (maxConnections: number): ReturnType<typeof deployment> {
   return deployment({
@@ -35,3 +38,27 @@
     expect(connections[0]!.isUsable).toEqual(false)
   })
 })
+
+describe('a new connection', () => {
+  // Guards against giving up connections that were established while the process had no processor time.
+  it('does not time out while the process is busy', async () => {
+    const scriptedServer = await ScriptedServer.start((_, __, socket) => respond(socket, '200 OK', 'fine'))
+    const connection = new ConnectionPool(new RecordedLog().logger).acquire(scriptedServer.address)
+    const result = new Promise<string>(resolve => {
+      connection.dispatch({ method: 'GET', path: '/' }, {
+        onConnect: () => undefined,
+        onHeaders: () => true,
+        onData: () => true,
+        onComplete: () => resolve('complete'),
+        onError: error => resolve(error.message)
+      }, () => undefined)
+    })
+    // The connection attempt starts in a later turn of the event loop.
+    await new Promise(resolve => setImmediate(resolve))
+    const busyUntil = performance.now() + BUSY_MS
+    while (performance.now() < busyUntil);
+    expect(await result).toEqual('complete')
+    connection.close()
+    scriptedServer.close()
+  })
+})
