Make less garbage of bodies that are buffered, and less memory for them

With 8 MB for all buffered responses the growth in endlessmemory.test.ts exceeded its bound of 64 << 20 bytes in single runs: 72 MB (1 of 3, bodies of failures), then 73 MB (1 of 4, one event) and 82 MB (1 of 5, bodies of failures) during these changes.

Bodies are collected in blocks, which are not copied before the body is complete, in place of a buffer that doubles. All responses share 5 MB (was 8 MB), and a stream may have 256 KB without a new event (was 1 MB); the largest event of the users' deployments has 390 bytes, the largest body 4,800. The test's scripted servers share the bytes that they send: they had taken 13 MB themselves, which counted as the gateway's.

The live buffers are within 5 MB, so this is garbage that V8 has not freed yet, though no run shows that directly. The unit test of the budget has other sizes for the same order of events.

--- a/src/forward/bufferbudget.ts
+++ b/src/forward/bufferbudget.ts
@@ -1,5 +1,5 @@
 /** Most memory for the parts of all responses that are buffered until they can be forwarded, in bytes. */
-const MAX_TOTAL_BYTES = 8 << 20
+const MAX_TOTAL_BYTES = 5 << 20
 
 /** Buffers a part of a response. */
 export interface BufferOwner {
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -1,7 +1,7 @@
-import { ByteBuffer } from '../base/index.js'
 import type { BackendServer } from '../fleet/index.js'
 import { RetrySafety } from '../routing/index.js'
 import { Outcome } from '../schedule/index.js'
+import { BodyBuffer } from './bodybuffer.js'
 import type { BufferOwner } from './bufferbudget.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
@@ -46,7 +46,7 @@
   private status = 0
   private headers: RawHeaders = []
   private isCloseDelimited = false
-  private readonly body = new ByteBuffer()
+  private readonly body = new BodyBuffer()
   private readonly receiveLimit = new ReceiveLimit()
   private isStreaming = false
   /** Whether reading is paused until the caller has read what was forwarded. */
@@ -168,7 +168,7 @@
     } else {
       this.lastReceivedAt = this.context.clock.now()
       const { status, headers, isCloseDelimited } = this
-      const result = { status, headers, isCloseDelimited, body: this.body.bytes }
+      const result = { status, headers, isCloseDelimited, body: this.body.toBuffer() }
       this.listener.onEnded(this, classifyResponse(status, headers, this.context.headerNames), result)
     }
   }
--- a/src/forward/eventsequencer.ts
+++ b/src/forward/eventsequencer.ts
@@ -2,7 +2,7 @@
 import { hasEventData, parseEventId } from './eventid.js'
 
 /** Longest event that is accepted, in bytes. */
-const MAX_EVENT_BYTES = 1 << 20
+const MAX_EVENT_BYTES = 256 << 10
 
 /** A complete event that may be forwarded. */
 export interface SequencedEvent {
--- a/src/forward/receivelimit.ts
+++ b/src/forward/receivelimit.ts
@@ -5,7 +5,7 @@
 const MAX_BUFFERED_BYTES = 4 << 20
 
 /** Longest part of a stream without a new event, in bytes. */
-const MAX_EVENT_BYTES = 1 << 20
+const MAX_EVENT_BYTES = 256 << 10
 
 /** Longest stream, in bytes. */
 const MAX_STREAM_BYTES = 16 << 20
--- a/test/endlessmemory.test.ts
+++ b/test/endlessmemory.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl'
 import { SeededRandom } from '../src/base/index.js'
 import { EventSplitter } from '../src/engine/index.js'
+import { BodyBuffer } from '../src/forward/bodybuffer.js'
 import { BufferBudget, type BufferOwner } from '../src/forward/index.js'
 import { RetrySafety, type Route } from '../src/routing/index.js'
 import { FloodingScript } from './flood.js'
@@ -11,6 +12,8 @@
 const HEAD = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\n'
 const CHUNKED_HEAD = `${HEAD}Transfer-Encoding: chunked\r\n\r\n`
 
+const MEGABYTE = 1 << 20
+
 /** Requests in flight at once, four at each server. */
 const REQUESTS = 100
 const SERVERS = 25
@@ -81,6 +84,21 @@
   }
 })
 
+describe('the body buffer', () => {
+  // Guards against a body whose parts are lost or mixed up where they are collected in blocks.
+  it('returns the body that was appended in chunks of any size', () => {
+    const random = new SeededRandom(11)
+    for (let round = 0; round < 20; round++) {
+      const chunks = Array.from({ length: round * 20 }, (_, i) => {
+        return Buffer.from(String.fromCharCode(97 + i % 26).repeat(Math.floor(random.next() * 40 * round)))
+      })
+      const body = new BodyBuffer()
+      for (const chunk of chunks) body.append(chunk)
+      expect(body.toBuffer().equals(Buffer.concat(chunks))).toEqual(true)
+    }
+  })
+})
+
 describe('the buffer budget', () => {
   // Guards against a sound response that is aborted because another server sends without end.
   it('aborts the largest response, not the one that grows last', () => {
@@ -88,14 +106,14 @@
     const budget = new BufferBudget()
     const owner = (name: string): BufferOwner => ({ onBufferExhausted: () => { aborted.push(name) } })
     const [small, large, larger] = [owner('small'), owner('large'), owner('larger')]
-    budget.set(large, 3 << 20)
-    budget.set(larger, 4 << 20)
-    budget.set(small, 1 << 20)
+    budget.set(large, 1.5 * MEGABYTE)
+    budget.set(larger, 2 * MEGABYTE)
+    budget.set(small, MEGABYTE)
     expect(aborted).toEqual([])
-    budget.set(small, 2 << 20)
+    budget.set(small, 1.8 * MEGABYTE)
     expect(aborted).toEqual(['larger'])
     budget.set(small, 0)
-    budget.set(small, 5 << 20)
+    budget.set(small, 3.5 * MEGABYTE)
     expect(aborted).toEqual(['larger'])
   })
 })
--- a/test/flood.ts
+++ b/test/flood.ts
@@ -7,6 +7,16 @@
 /** Bytes that are passed to a socket at once, in bytes. */
 const WRITE_BYTES = 64 << 10
 
+const blocks = new Map<string, Buffer>()
+
+/** Returns many units in one buffer, which all floods share so that tests measure the memory of the gateway. */
+function blockOf (unit: string): Buffer {
+  const block = blocks.get(unit) ??
+    Buffer.from(unit.repeat(Math.max(1, Math.floor(WRITE_BYTES / unit.length))), 'latin1')
+  blocks.set(unit, block)
+  return block
+}
+
 /** Sends the same bytes to a connection as fast as the other end reads them, until the connection is closed. */
 export class Flood {
   /** Bytes that were passed to the connection. */
@@ -21,7 +31,7 @@
    * @param unit - bytes that are sent again and again
    */
   constructor (private readonly socket: Socket, start: string, unit: string) {
-    this.block = Buffer.from(unit.repeat(Math.max(1, Math.floor(WRITE_BYTES / unit.length))), 'latin1')
+    this.block = blockOf(unit)
     socket.on('close', () => { this.wasClosed = true })
     socket.on('drain', () => this.write())
     socket.write(start, 'latin1')
