--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -1,15 +1,24 @@
 import type { Clock } from '../base/index.js'
+import type { CrashEvidence } from '../poison/index.js'
 import { type Effect, Outcome, type Scheduler } from '../schedule/index.js'
 import type { ReplyHandler, SchedulerConnection } from './connection.js'
 import type { Ask } from './dispatch_pb.js'
 import type { Gossip } from './gossip.js'
-import { createReply, decodeJob } from './messages.js'
+import { createReply, decodeJob, encodeCrashes } from './messages.js'
+
+/** Shortest time between two reports of crashes to the connected hosts, in milliseconds. */
+const CRASH_REPORT_INTERVAL_MS = 100
 
 const OUTCOMES: ReadonlySet<string> = new Set(Object.values(Outcome))
 
+/** A host's report on a job that holds a slot. */
+type ProgressReport = Extract<Ask['body'], { case: 'started' | 'silent' | 'ended' }>
+
 /** Connects the scheduler of this process to the hosts that use it, which may include this host. */
 export class Hub {
   private readonly replyHandlers = new Map<string, ReplyHandler>()
+  /** Revision of the crash evidence that the connected hosts have, and when they got it. */
+  private reportedCrashes = { revision: 0, at: -Infinity }
 
   /**
    * @param scheduler - the scheduler of this process
@@ -35,6 +44,7 @@
     this.disconnect(host)
     this.replyHandlers.set(host, onReply)
     this.onHostsChanged()
+    if (this.scheduler.crashes.revision > 0) this.sendCrashes(host)
     return { send: ask => { if (this.replyHandlers.get(host) === onReply) this.handleAsk(host, ask) } }
   }
 
@@ -73,8 +83,21 @@
     for (const host of this.replyHandlers.keys()) this.sendReply(host, 0, { case: 'paces', value: { paces: speeds } })
   }
 
-  /** Schedules the queued jobs again, since queue timeouts and back-offs expire with time. */
+  /**
+   * Adopts what the scheduler in use knows of crashes, since this one may be selected next.
+   *
+   * @param evidence - its crashes and blocked prompt parts
+   */
+  adoptCrashes (evidence: CrashEvidence): void {
+    this.scheduler.crashes.adopt(evidence, this.replyHandlers.size === 0, this.clock.now())
+  }
+
+  /**
+   * Schedules the queued jobs again, since queue timeouts and back-offs expire with time, and reports changes of the
+   * crash evidence to all connected hosts, any of which may be selected next.
+   */
   tick (): void {
+    this.reportCrashes(this.clock.now())
     if (this.scheduler.queueLength > 0) this.sendEffects(this.scheduler.tick(this.clock.now()))
   }
 
@@ -94,20 +117,27 @@
         this.scheduler.adoptRunningJob(decodeJob(id, body.value.place, now), body.value.server, body.value.started, now)
         break
       case 'started':
-        this.sendEffects(this.scheduler.recordFirstEvent(id, body.value.server, now))
+      case 'silent':
+      case 'ended':
+        this.handleProgress(id, body, now)
         break
-      case 'ended': {
-        const { server, outcome, stepMs } = body.value
-        const knownOutcome = OUTCOMES.has(outcome) ? outcome as Outcome : Outcome.cancelled
-        this.sendEffects(this.scheduler.recordEnd(id, server, knownOutcome, stepMs > 0 ? stepMs : undefined, now))
-        break
-      }
       case 'withdraw':
         this.scheduler.withdraw(id, body.value.service, now)
         break
       case 'levels':
         this.scheduler.adoptQuotaBalances(body.value.levels, now)
         break
+      case 'crashes':
+        this.scheduler.crashes.adopt(body.value, false, now)
+        break
+      default:
+        this.handleRowAsk(host, body)
+    }
+  }
+
+  /** Handles the messages by which hosts exchange rows. */
+  private handleRowAsk (host: string, body: Ask['body']): void {
+    switch (body.case) {
       case 'ping':
         this.sendReply(host, 0, { case: 'pong', value: { standing: this.gossip.versionVector() } })
         this.gossip.compare(body.value.standing, behind => this.sendReply(host, 0, { case: 'behind', value: behind }))
@@ -121,6 +151,29 @@
     }
   }
 
+  private handleProgress (id: string, report: ProgressReport, now: number): void {
+    const { server } = report.value
+    if (report.case === 'started') this.sendEffects(this.scheduler.recordFirstEvent(id, server, now))
+    else if (report.case === 'silent') this.scheduler.loads.get(server)?.recordSilence(id, now)
+    else {
+      const { outcome, stepMs } = report.value
+      const knownOutcome = OUTCOMES.has(outcome) ? outcome as Outcome : Outcome.cancelled
+      this.sendEffects(this.scheduler.recordEnd(id, server, knownOutcome, stepMs > 0 ? stepMs : undefined, now))
+    }
+  }
+
+  private reportCrashes (now: number): void {
+    const { revision } = this.scheduler.crashes
+    if (revision === this.reportedCrashes.revision || now - this.reportedCrashes.at < CRASH_REPORT_INTERVAL_MS) return
+    this.reportedCrashes = { revision, at: now }
+    for (const host of this.replyHandlers.keys()) this.sendCrashes(host)
+  }
+
+  private sendCrashes (host: string): void {
+    const evidence = encodeCrashes(this.scheduler.crashes.evidence(this.clock.now()))
+    this.sendReply(host, 0, { case: 'crashes', value: evidence })
+  }
+
   private sendEffects (effects: readonly Effect[]): void {
     for (const effect of effects) {
       const slash = effect.job.lastIndexOf('/')
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,38 +1,39 @@
 import type { JobHandle, Placement } from '../dispatch/index.js'
 import type { BackendServer } from '../fleet/index.js'
-import { mayRetryAfterExecution } from '../routing/index.js'
-import { Outcome, Refusal } from '../schedule/index.js'
+import { chooseService, mayRetryAfterExecution } from '../routing/index.js'
+import { Outcome, Refusal, SUCCESSES } from '../schedule/index.js'
+import type { BufferedResponse } from './bufferedresponse.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
 import type { ForwardContext } from './context.js'
-import { type BufferedResponse, Delivery } from './delivery.js'
+import { Delivery } from './delivery.js'
 import { EventSequencer } from './eventsequencer.js'
+import { FailedResponse } from './failedresponse.js'
+import { Slots } from './slots.js'
 import { Status } from './status.js'
 
 /** Least time before the deadline at which a request is retried, in milliseconds: about one round trip. */
 const MIN_RETRY_TIME_MS = 30
 
+/**
+ * Silence after which a server that is no longer listed counts as lost, in milliseconds. A server that leaves
+ * unannounced still responds for a few seconds.
+ */
+const REMOVED_SERVER_SILENCE_MS = 3_000
+
 /** How many further slots an attempt requests because the granted server is no longer usable. */
 const MAX_REGRANTS = 8
 
-/** Retry-After of failed attempts for which the scheduler gave no time, in milliseconds. */
-const DEFAULT_RETRY_AFTER_MS = 500
-
 /** One attempt of a caller, from its arrival to its final response. It is sent to one server at a time. */
 export class Attempt {
-  private job: JobHandle | undefined
+  private readonly slots: Slots
   private delivery: Delivery | undefined
-  private readonly excludedServers: string[] = []
+  /** The latest delivery that gave no usable response, for the log. */
+  private lostDelivery: Delivery | undefined
   private readonly sequencer: EventSequencer
-  private readonly service: string
   private sendCount = 0
   private regrantCount = 0
-  /** Whether the request was charged to the organisation's quota already. */
-  private isCharged = false
-  /** Whether a server may have run the request. */
-  private mayHaveRun = false
-  /** A server's own error response, for the caller if no retry succeeds. */
-  private serverFailure: BufferedResponse | undefined
+  private readonly failedResponse: FailedResponse
   private isFinished = false
 
   /**
@@ -48,7 +49,11 @@
     private readonly onFinished: (attempt: Attempt) => void
   ) {
     this.sequencer = new EventSequencer(request.lastEventId)
-    this.service = chooseService(request, context.random.next())
+    this.slots = new Slots(context, request, chooseService(request.route, context.random.next()), {
+      onPlacement: placement => this.handlePlacement(placement),
+      onAlternative: (server, job) => this.leaveSilentServer(server, job)
+    })
+    this.failedResponse = new FailedResponse(context, request, response)
   }
 
   /** Requests the first slot. */
@@ -66,76 +71,76 @@
   }
 
   /**
-   * Fails the attempt if its deadline has passed, and retries it if its server is silent.
+   * Fails the attempt if its deadline has passed, and looks for another server if its server is silent.
    *
    * @param now - monotonic time, in milliseconds
    */
   tick (now: number): void {
     if (this.isFinished) return
     if (now >= this.request.deadlineAt) {
-      if (this.delivery?.wasSent === true) this.mayHaveRun = true
+      if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
       this.cancel()
       this.fail(Status.gatewayTimeout, 'no answer within the time that the route allows')
-    } else if (this.delivery?.isSilent(now) === true && this.canRetry()) {
-      this.delivery.abort()
-      this.handleLost(this.delivery, Outcome.silent)
+    } else if (this.delivery?.isSilent(now) === true) {
+      this.handleSilence(this.delivery, now)
     }
   }
 
+  /**
+   * A silent server may be sound, so its response is awaited until another server is granted. The response ends earlier
+   * only if the server is no longer listed.
+   */
+  private handleSilence (delivery: Delivery, now: number): void {
+    this.slots.job?.reportSilent()
+    if (delivery.silenceMs(now) > REMOVED_SERVER_SILENCE_MS && !this.context.fleet.isCurrent(delivery.server)) {
+      delivery.abort()
+      this.handleLost(delivery, Outcome.silent)
+    } else if (this.canRepeat()) {
+      this.slots.requestAlternative(delivery.server.id, now)
+    }
+  }
+
+  /** @returns whether the request is sent to another server, which is so if it is usable and the first still silent */
+  private leaveSilentServer (serverId: string, job: JobHandle): boolean {
+    const now = this.context.clock.now()
+    const server = this.context.fleet.findUsable(serverId, now)
+    const { delivery } = this
+    if (server === undefined || delivery?.isSilent(now) !== true) return false
+    delivery.abort()
+    this.recordLost(delivery, Outcome.silent)
+    this.send(server, job)
+    return true
+  }
+
   private requestSlot (isRetry: boolean): void {
-    const { request, context } = this
-    const { route } = request
     this.delivery = undefined
-    this.job = context.dispatcher.request({
-      service: this.service,
-      route: route.name,
-      fingerprint: request.fingerprint,
-      organisationRank: request.organisation?.rank ?? 0,
-      rank: route.rank,
-      organisation: request.organisation?.name,
-      units: request.units,
-      promptTokens: request.promptTokens,
-      expectedEvents: request.expectedTokens / (context.deployment()?.services.get(this.service)?.tokensPerEvent ?? 1),
-      arrivedAt: request.arrivedAt,
-      objectiveAt: request.objectiveAt,
-      objectiveMs: route.objectiveMs,
-      maxEventGapMs: route.maxEventGapMs,
-      deadlineAt: request.deadlineAt,
-      dataCentre: context.dataCentre,
-      excludedServers: [...this.excludedServers],
-      isRetry,
-      isCharged: this.isCharged
-    }, placement => queueMicrotask(() => this.handlePlacement(placement)))
+    this.slots.requestSlot(isRetry)
   }
 
   private handlePlacement (placement: Placement): void {
-    if (this.isFinished) {
-      if (placement.kind === 'granted') this.job?.reportEnded(Outcome.cancelled)
-      return
-    }
     if (placement.kind === 'refused') {
       this.handleRefusal(placement.reason, placement.retryAfterMs)
       return
     }
-    this.isCharged = true
+    this.slots.isCharged = true
     const server = this.context.fleet.findUsable(placement.server, this.context.clock.now())
     if (server === undefined) this.requestOtherSlot(placement.server)
-    else this.send(server)
+    else this.send(server, this.slots.job!)
   }
 
   /** Returns a slot whose server is unusable, which the scheduler does not know yet, and requests another slot. */
   private requestOtherSlot (unusableServer: string): void {
-    this.job?.reportEnded(Outcome.cancelled)
-    this.excludedServers.push(unusableServer)
+    this.slots.job?.reportEnded(Outcome.cancelled)
+    this.slots.excludedServers.push(unusableServer)
     this.regrantCount++
     if (this.regrantCount > MAX_REGRANTS) this.fail(Status.unavailable, 'no server takes work')
     else this.requestSlot(false)
   }
 
-  private send (server: BackendServer): void {
+  private send (server: BackendServer, job: JobHandle): void {
     this.log('sent', { server: server.id, send: this.sendCount + 1 })
-    const job = this.job!
     this.delivery = new Delivery(this.context, this.request, server, this.sequencer, this.response, {
+      onSent: () => { this.sendCount++ },
       onStarted: () => job.reportStarted(),
       onEnded: (delivery, outcome, result) => this.handleDeliveryEnd(delivery, outcome, result)
     })
@@ -143,25 +148,25 @@
 
   private handleDeliveryEnd (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
     if (this.isFinished) return
-    if (delivery.wasSent) this.sendCount++
-    if (outcome === Outcome.done) this.complete(delivery, result)
+    const isUsable = result === undefined || !this.response.isStarted
+    if (SUCCESSES.has(outcome) && isUsable) this.complete(delivery, outcome, result)
     else if (outcome === Outcome.rejected || outcome === Outcome.misdirected || outcome === Outcome.unreachable) {
       this.handleNotRun(delivery, outcome)
     } else if (outcome === Outcome.unsendable) {
-      this.job?.reportEnded(outcome)
+      this.slots.job?.reportEnded(outcome)
       this.log('unsendable', { reason: delivery.failureReason })
       this.response.sendText(Status.badRequest, 'the request can not be passed on')
       this.finish()
     } else if (outcome === Outcome.failed) {
-      this.serverFailure = result
+      this.failedResponse.serverFailure = result
       this.handleLost(delivery, outcome)
     } else {
       this.handleLost(delivery, outcome)
     }
   }
 
-  private complete (delivery: Delivery, result: BufferedResponse | undefined): void {
-    this.job?.reportEnded(Outcome.done, delivery.stepMs)
+  private complete (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
+    this.slots.job?.reportEnded(outcome, delivery.stepMs)
     if (result === undefined) this.response.end()
     else this.response.send(result.status, result.headers, result.body, result.isCloseDelimited)
     this.log('answered', { ...delivery.logFields, ms: Math.round(this.context.clock.now() - this.request.arrivedAt) })
@@ -169,9 +174,9 @@
   }
 
   private handleNotRun (delivery: Delivery, outcome: Outcome): void {
-    this.job?.reportEnded(outcome)
+    this.slots.job?.reportEnded(outcome)
     this.log('not-run', { server: delivery.server.id, outcome })
-    this.excludedServers.push(delivery.server.id)
+    this.slots.excludedServers.push(delivery.server.id)
     // If nothing was sent, the next send does not draw on the retry budget.
     if (this.canRetry()) this.requestSlot(delivery.wasSent)
     else this.fail(Status.unavailable, 'the server did not take the request')
@@ -179,24 +184,36 @@
 
   /** Handles a delivery without a usable response whose server may have run the request. */
   private handleLost (delivery: Delivery, outcome: Outcome): void {
-    this.mayHaveRun = true
-    this.job?.reportEnded(outcome)
-    this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason })
-    this.excludedServers.push(delivery.server.id)
-    this.sequencer.discardPartialEvent()
-    if (mayRetryAfterExecution(this.request.route) && this.canRetry()) this.requestSlot(true)
+    this.recordLost(delivery, outcome)
+    if (this.canRepeat()) this.requestSlot(true)
     else this.fail(Status.badGateway, 'the server gave no whole answer')
   }
 
+  private recordLost (delivery: Delivery, outcome: Outcome): void {
+    this.failedResponse.mayHaveRun = true
+    this.lostDelivery = delivery
+    this.slots.job?.reportEnded(outcome)
+    const silentMs = Math.round(delivery.silenceMs(this.context.clock.now()))
+    const { sharedPromptParts: parts } = this.request
+    this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason, silentMs, parts })
+    this.slots.excludedServers.push(delivery.server.id)
+    this.sequencer.discardPartialEvent()
+  }
+
+  /** Whether the request may be sent again though a server may have run it. */
+  private canRepeat (): boolean {
+    return mayRetryAfterExecution(this.request.route) && this.canRetry()
+  }
+
   private canRetry (): boolean {
-    if (!mayRetryAfterExecution(this.request.route) && this.mayHaveRun) return false
+    if (!mayRetryAfterExecution(this.request.route) && this.failedResponse.mayHaveRun) return false
     const remainingMs = this.request.deadlineAt - this.context.clock.now()
     return this.sendCount < this.request.route.maxAttempts && remainingMs > MIN_RETRY_TIME_MS
   }
 
   private handleRefusal (reason: Refusal, retryAfterMs: number): void {
     this.log('refused', { reason, retryAfterMs })
-    if (reason === Refusal.quota && !this.mayHaveRun) {
+    if (reason === Refusal.quota && !this.failedResponse.mayHaveRun) {
       this.response.sendText(Status.tooManyRequests, 'the allowance is used up', retryAfterMs)
       this.finish()
     } else {
@@ -204,31 +221,22 @@
     }
   }
 
-  /**
-   * Finishes the attempt without a successful response from a server. Callers take status 503 to mean that the request
-   * did not run, so it is sent only if that is certain.
-   */
-  private fail (status: number, reason: string, retryAfterMs = DEFAULT_RETRY_AFTER_MS): void {
-    const { response, serverFailure: result } = this
-    if (response.isStarted) response.destroy()
-    else if (result !== undefined) response.send(result.status, result.headers, result.body, result.isCloseDelimited)
-    else if (!this.mayHaveRun) response.sendText(Status.unavailable, reason, retryAfterMs)
-    else response.sendText(status === Status.unavailable ? Status.badGateway : status, reason)
+  /** Finishes the attempt without a successful response from a server. */
+  private fail (status: number, reason: string, retryAfterMs?: number): void {
+    this.failedResponse.send(status, reason, this.delivery ?? this.lostDelivery, retryAfterMs)
     this.log('gave-up', { status, reason })
     this.finish()
   }
 
   private cancel (): void {
-    if (this.delivery !== undefined) {
-      this.delivery.abort()
-      this.job?.reportEnded(Outcome.cancelled)
-    } else {
-      this.job?.withdraw()
-    }
+    if (this.delivery === undefined) return
+    this.delivery.abort()
+    this.slots.job?.reportEnded(Outcome.cancelled)
   }
 
   private finish (): void {
     this.isFinished = true
+    this.slots.close()
     this.onFinished(this)
   }
 
@@ -236,15 +244,3 @@
     this.context.log.debug({ event, attempt: this.request.attemptId, route: this.request.route.name, ...fields }, event)
   }
 }
-
-/** Chooses one of the route's services by weight; `random` is from 0 up to but not including 1. */
-function chooseService (request: CallerRequest, random: number): string {
-  const { targets } = request.route
-  const total = targets.reduce((sum, target) => sum + target.weight, 0)
-  let remaining = random * total
-  for (const target of targets) {
-    remaining -= target.weight
-    if (remaining < 0) return target.service
-  }
-  return targets[targets.length - 1]?.service ?? ''
-}
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -21,15 +21,6 @@
 /** Headers of responses that are not copied because the scheduler sets them itself. */
 const REWRITTEN_HEADERS: ReadonlySet<string> = new Set(['content-length'])
 
-/** A server's complete response. */
-export interface BufferedResponse {
-  readonly status: number
-  readonly headers: RawHeaders
-  readonly body: Buffer
-  /** Whether the end of the body was marked only by the end of the connection. */
-  readonly isCloseDelimited: boolean
-}
-
 /** One send of a caller's request to one server. */
 export class Delivery implements ResponseHandler, BufferOwner {
   /** Whether the server may have received the request. */
@@ -110,12 +101,21 @@
    * @returns whether the server has sent nothing for so long that the request is to be abandoned there
    */
   isSilent (now: number): boolean {
-    if (this.isWaitingForCaller) return false
-    return now - this.lastReceivedAt > Math.max(MIN_SILENCE_MS, 2 * this.request.route.objectiveMs)
+    return this.silenceMs(now) > Math.max(MIN_SILENCE_MS, 2 * this.request.route.objectiveMs)
+  }
+
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns time since the latest event, or since the request was sent if there was none; 0 while the stream waits
+   *   for its caller; in milliseconds
+   */
+  silenceMs (now: number): number {
+    return this.isWaitingForCaller ? 0 : now - this.lastReceivedAt
   }
 
   onSent (): void {
     this.wasSent = true
+    this.listener.onSent()
   }
 
   onReading (bytes: number): void {
@@ -164,7 +164,7 @@
     this.context.connectionPool.release(this.server.address, this.connection)
     if (this.isStreaming) {
       this.startResponse()
-      this.listener.onEnded(this, Outcome.done, undefined)
+      this.listener.onEnded(this, this.isCloseDelimited ? Outcome.ended : Outcome.done, undefined)
     } else {
       this.lastReceivedAt = this.context.clock.now()
       const { status, headers, isCloseDelimited } = this
--- a/src/forward/deliverylistener.ts
+++ b/src/forward/deliverylistener.ts
@@ -1,8 +1,12 @@
 import type { Outcome } from '../schedule/index.js'
-import type { BufferedResponse, Delivery } from './delivery.js'
+import type { BufferedResponse } from './bufferedresponse.js'
+import type { Delivery } from './delivery.js'
 
 /** Receives the progress of a delivery. */
 export interface DeliveryListener {
+  /** Called when the request may have reached the server. */
+  onSent (): void
+
   /** Called when the first event arrives, or the headers of a response that is not streamed. */
   onStarted (): void
 
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -3,10 +3,12 @@
 import { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerrequest.js'
 import { CallerResponse } from './callerresponse.js'
+import { handleClientError } from './clienterror.js'
 import type { ForwardContext } from './context.js'
 import { findHeader } from './headers.js'
 import {
-  computeFingerprint, estimateOutputTokens, headerBlockBytes, matchRoute, parseTokenUsage, quotaUnits, type RouteMatch
+  computeFingerprint, estimateOutputTokens, headerBlockBytes, matchRoute, parseSharedPromptParts, parseTokenUsage,
+  quotaUnits, type RouteMatch
 } from './requestfields.js'
 import { Status } from './status.js'
 
@@ -47,12 +49,7 @@
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
       requestTimeout: 0
     }, (message, response) => this.handleRequest(message, response))
-    this.server.on('clientError', (error, socket) => {
-      const isTooLong = (error as NodeJS.ErrnoException).code === 'HPE_HEADER_OVERFLOW'
-      const status = isTooLong ? '431 Request Header Fields Too Large' : '400 Bad Request'
-      if (socket.writable) socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
-      else socket.destroy()
-    })
+    this.server.on('clientError', handleClientError)
   }
 
   /**
@@ -103,11 +100,17 @@
   }
 
   private handleRequest (message: IncomingMessage, rawResponse: ServerResponse): void {
+    // The request crossed the end of its connection, so no response to it could be sent.
+    if (!message.socket.writable) {
+      message.socket.destroy()
+      return
+    }
     const arrivedAt = this.context.clock.now()
     const { headerNames: names } = this.context
     const attemptId = findHeader(message.rawHeaders, names.attemptId)
     const echoedHeader = attemptId === undefined ? undefined : [names.attemptId, attemptId] as const
-    const response = new CallerResponse(rawResponse, echoedHeader, () => this.context.isClosing())
+    const response = new CallerResponse(rawResponse, echoedHeader, () => this.context.isClosing(),
+      () => this.hasOtherRequest(rawResponse))
     this.activeResponses.add(rawResponse)
     rawResponse.on('close', () => this.activeResponses.delete(rawResponse))
     const deployment = this.context.deployment()
@@ -119,6 +122,13 @@
     else this.route(deployment, { message, response, attemptId, arrivedAt, rawResponse })
   }
 
+  /** Whether another request of the same connection awaits its response. */
+  private hasOtherRequest (rawResponse: ServerResponse): boolean {
+    const { socket } = rawResponse.req
+    for (const other of this.activeResponses) if (other !== rawResponse && other.req.socket === socket) return true
+    return false
+  }
+
   /** Delays a request that arrives right after the host's start: the deployment is usually known in milliseconds. */
   private waitForDeployment (request: ReceivedRequest): void {
     const giveUpAt = request.arrivedAt + DEPLOYMENT_WAIT_MS
@@ -211,6 +221,7 @@
       route,
       organisation,
       promptTokens,
+      sharedPromptParts: parseSharedPromptParts(findHeader(headers, names.promptParts)),
       expectedTokens: estimateOutputTokens(maxOutputTokens, findHeader(headers, names.lengthHint)),
       units: quotaUnits(organisation, promptTokens + maxOutputTokens),
       lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
--- a/src/forward/responseoutcome.ts
+++ b/src/forward/responseoutcome.ts
@@ -12,5 +12,6 @@
 export function classifyResponse (status: number, headers: RawHeaders, names: HeaderNames): Outcome {
   if (status === Status.misdirected) return Outcome.misdirected
   if (findHeader(headers, names.notRun) !== undefined) return Outcome.rejected
-  return status >= Status.serverError ? Outcome.failed : Outcome.done
+  if (status >= Status.serverError) return Outcome.failed
+  return status >= Status.redirection ? Outcome.declined : Outcome.done
 }
