--- a/test/endlessmemory.test.ts
+++ b/test/endlessmemory.test.ts
@@ -73,7 +73,7 @@
       let peak = before
       const sampling = setInterval(() => { peak = Math.max(peak, memoryInUse()) }, SAMPLE_INTERVAL_MS)
       const startedAt = performance.now()
-      const texts = await Promise.all(Array.from({ length: REQUESTS }, async () => await rig.request(POST, 'x')))
+      const texts = await Promise.all(Array.from({ length: REQUESTS }, async (_, i) => await rig.request(POST, `x${i}`)))
       const ms = performance.now() - startedAt
       clearInterval(sampling)
       expect(texts.filter(text => !/^HTTP\/1.1 50[23] /.test(text))).toEqual([])
