--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -1,6 +1,8 @@
 import type { BackendServer } from '../fleet/index.js'
 import { RetrySafety } from '../routing/index.js'
 import { Outcome } from '../schedule/index.js'
+import { BodyBuffer } from './bodybuffer.js'
+import type { BufferOwner } from './bufferbudget.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
 import type { ServerConnection } from './connection.js'
@@ -8,11 +10,10 @@
 import type { DeliveryListener } from './deliverylistener.js'
 import type { EventSequencer } from './eventsequencer.js'
 import { Exchange, type ResponseHandler } from './exchange.js'
-import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders } from './headers.js'
-import { Status } from './status.js'
-
-/** Longest body that is buffered until the response is complete, in bytes. */
-const MAX_BUFFERED_BYTES = 16 << 20
+import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders, statedBodyLength } from './headers.js'
+import { buildOutgoingHeaders } from './outgoingheaders.js'
+import { ReceiveLimit } from './receivelimit.js'
+import { classifyResponse } from './responseoutcome.js'
 
 /** A server is silent if it sends nothing for this time or twice the latency objective, if longer; in milliseconds. */
 const MIN_SILENCE_MS = 1_000
@@ -21,7 +22,7 @@
 const REWRITTEN_HEADERS: ReadonlySet<string> = new Set(['content-length'])
 
 /** One send of a caller's request to one server. */
-export class Delivery implements ResponseHandler {
+export class Delivery implements ResponseHandler, BufferOwner {
   /** Whether the server may have received the request. */
   wasSent = false
   /** Why there is no complete response; empty if there is one. */
@@ -36,9 +37,11 @@
   private status = 0
   private headers: RawHeaders = []
   private isCloseDelimited = false
-  private readonly chunks: Buffer[] = []
-  private bufferedBytes = 0
+  private readonly body = new BodyBuffer()
+  private readonly receiveLimit = new ReceiveLimit()
   private isStreaming = false
+  /** Whether reading is paused until the caller has read what was forwarded. */
+  private isWaitingForCaller = false
   private isFinished = false
 
   /**
@@ -62,7 +65,8 @@
     this.sentAt = this.lastReceivedAt = context.clock.now()
     this.connection = context.connectionPool.acquire(server.address)
     const { method, target, body } = request
-    const outgoing = { method, target, headers: this.outgoingHeaders(), body: body.length > 0 ? body : null }
+    const headers = buildOutgoingHeaders(context.headerNames, request, server, sequencer.lastEventId, this.sentAt)
+    const outgoing = { method, target, headers, body: body.length > 0 ? body : null }
     this.exchange = new Exchange(this.connection, outgoing, this)
   }
 
@@ -88,7 +92,7 @@
 
   /** Aborts the delivery; the listener is not called any more. */
   abort (): void {
-    this.isFinished = true
+    this.finish()
     this.exchange.abort()
   }
 
@@ -102,10 +106,11 @@
 
   /**
    * @param now - monotonic time, in milliseconds
-   * @returns time since the latest event, or since the request was sent if there was none; in milliseconds
+   * @returns time since the latest event, or since the request was sent if there was none; 0 while the stream waits
+   *   for its caller; in milliseconds
    */
   silenceMs (now: number): number {
-    return now - this.lastReceivedAt
+    return this.isWaitingForCaller ? 0 : now - this.lastReceivedAt
   }
 
   onSent (): void {
@@ -113,6 +118,12 @@
     this.listener.onSent()
   }
 
+  onReading (bytes: number): void {
+    if (this.isFinished) return
+    const excess = this.receiveLimit.checkOverhead(bytes)
+    if (excess !== undefined) this.abortAsBroken(excess)
+  }
+
   onHead (status: number, headers: RawHeaders): void {
     if (this.isFinished) return
     const { attemptId, route } = this.request
@@ -125,15 +136,21 @@
     this.headers = endToEndHeaders(headers, REWRITTEN_HEADERS)
     this.isCloseDelimited = isCloseDelimited(headers)
     this.isStreaming = route.retrySafety === RetrySafety.stream && status >= 200 && status < 300
-    if (!this.isStreaming) this.recordArrival()
+    const bodyLength = statedBodyLength(this.request.method, status, headers)
+    const excess = this.receiveLimit.recordHead(this.isStreaming, bodyLength)
+    if (excess !== undefined) this.abortAsBroken(excess)
+    else if (!this.isStreaming) this.recordArrival()
   }
 
   onBody (bytes: Buffer): boolean {
     if (this.isFinished) return true
-    if (this.isStreaming) return this.forwardEvents(bytes)
-    this.bufferedBytes += bytes.length
-    if (this.bufferedBytes > MAX_BUFFERED_BYTES) this.abortAsBroken('the response body is too long to buffer')
-    else this.chunks.push(Buffer.from(bytes))
+    const excess = this.receiveLimit.recordBody(bytes.length)
+    if (excess !== undefined) this.abortAsBroken(excess)
+    else if (this.isStreaming) return this.forwardEvents(bytes)
+    else {
+      this.body.append(bytes)
+      this.context.bufferBudget.set(this, this.body.capacity)
+    }
     return true
   }
 
@@ -143,7 +160,7 @@
       this.abortAsBroken('the stream ended within an event')
       return
     }
-    this.isFinished = true
+    this.finish()
     this.context.connectionPool.release(this.server.address, this.connection)
     if (this.isStreaming) {
       this.startResponse()
@@ -151,32 +168,21 @@
     } else {
       this.lastReceivedAt = this.context.clock.now()
       const { status, headers, isCloseDelimited } = this
-      const result = { status, headers, isCloseDelimited, body: Buffer.concat(this.chunks) }
-      this.listener.onEnded(this, this.classifyResponse(), result)
+      const result = { status, headers, isCloseDelimited, body: this.body.toBuffer() }
+      this.listener.onEnded(this, classifyResponse(status, headers, this.context.headerNames), result)
     }
   }
 
   onFailure (error: Error): void {
-    if (this.isFinished) return
-    this.isFinished = true
-    this.failureReason = error.message
-    this.connection.close()
-    this.listener.onEnded(this, this.wasSent ? Outcome.broken : Outcome.unreachable, undefined)
+    if (!this.isFinished) this.fail(this.wasSent ? Outcome.broken : Outcome.unreachable, error.message)
   }
 
   onUnsendable (error: Error): void {
-    if (this.isFinished) return
-    this.isFinished = true
-    this.failureReason = error.message
-    this.connection.close()
-    this.listener.onEnded(this, Outcome.unsendable, undefined)
+    if (!this.isFinished) this.fail(Outcome.unsendable, error.message)
   }
 
-  private classifyResponse (): Outcome {
-    if (this.status === Status.misdirected) return Outcome.misdirected
-    if (findHeader(this.headers, this.context.headerNames.notRun) !== undefined) return Outcome.rejected
-    if (this.status >= Status.serverError) return Outcome.failed
-    return this.status >= Status.redirection ? Outcome.declined : Outcome.done
+  onBufferExhausted (): void {
+    this.abortAsBroken('the buffers of all responses are full, and this one is the largest')
   }
 
   /** @returns whether to continue reading at once */
@@ -184,15 +190,27 @@
     const { events, isValid } = this.sequencer.push(bytes)
     let canContinue = true
     for (const event of events) {
-      this.recordArrival()
+      if (event.isProgress) this.recordArrival()
+    }
+    if (events.length > 0) {
       this.startResponse()
-      canContinue = this.response.write(event)
+      canContinue = this.response.write(Buffer.concat(events.map(event => event.bytes)))
     }
     if (!isValid) this.abortAsBroken('an event is missing or too long')
-    if (!canContinue && !this.isFinished) this.response.onDrain(() => this.exchange.resume())
+    else this.context.bufferBudget.set(this, this.sequencer.bufferedBytes)
+    if (!canContinue && !this.isFinished) this.waitForCaller()
     return canContinue
   }
 
+  private waitForCaller (): void {
+    this.isWaitingForCaller = true
+    this.response.onDrain(() => {
+      this.isWaitingForCaller = false
+      this.lastReceivedAt = this.context.clock.now()
+      this.exchange.resume()
+    })
+  }
+
   /** Starts the response to the caller. If a second server continues a stream, the headers of the first remain. */
   private startResponse (): void {
     if (!this.response.isStarted) this.response.start(this.status, this.headers, this.isCloseDelimited)
@@ -202,6 +220,7 @@
   private recordArrival (): void {
     const now = this.context.clock.now()
     this.eventCount++
+    this.receiveLimit.recordEvent()
     if (this.firstReceivedAt !== undefined) {
       this.longestEventGapMs = Math.max(this.longestEventGapMs, now - this.lastReceivedAt)
       this.lastReceivedAt = now
@@ -211,25 +230,20 @@
     this.listener.onStarted()
   }
 
-  private abortAsBroken (reason: string): void {
+  private finish (): void {
     this.isFinished = true
+    this.context.bufferBudget.set(this, 0)
+  }
+
+  private abortAsBroken (reason: string): void {
+    this.fail(Outcome.broken, reason)
+  }
+
+  private fail (outcome: Outcome, reason: string): void {
+    this.finish()
     this.failureReason = reason
     this.exchange.abort()
-    this.listener.onEnded(this, Outcome.broken, undefined)
-  }
-
-  private outgoingHeaders (): string[] {
-    const { headerNames: names } = this.context
-    const { organisation, deadlineAt, headers } = this.request
-    const dropped = new Set(['content-length', 'expect', names.key, names.deadline, names.organisation, names.serverId,
-      ...names.reserved])
-    const lastEventId = this.sequencer.lastEventId
-    if (lastEventId !== undefined) dropped.add(names.lastEventId)
-    const remainingMs = Math.max(1, Math.floor(deadlineAt - this.sentAt))
-    const outgoing = [...endToEndHeaders(headers, dropped), names.deadline, String(remainingMs),
-      names.serverId, this.server.id]
-    if (organisation !== undefined) outgoing.push(names.organisation, organisation.name)
-    if (lastEventId !== undefined) outgoing.push(names.lastEventId, String(lastEventId))
-    return outgoing
+    this.connection.close()
+    this.listener.onEnded(this, outcome, undefined)
   }
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 import type Logger from 'bunyan'
 import { type Clock, Lifecycle, SystemRandom, toError } from '../base/index.js'
 import { Dispatcher, DispatchListener, Hub, SchedulerSelector } from '../dispatch/index.js'
-import { ConnectionPool, Ingress } from '../forward/index.js'
+import { BufferBudget, ConnectionPool, Ingress } from '../forward/index.js'
 import type { Deployment } from '../routing/index.js'
 import { Scheduler } from '../schedule/index.js'
 import { MemberEvictor } from './memberevictor.js'
@@ -38,7 +38,7 @@
 /** A host process: forwards requests of callers to backend servers, and schedules requests if selected to. */
 export class Gateway {
   private readonly lifecycle = new Lifecycle()
-  private readonly connectionPool = new ConnectionPool()
+  private readonly connectionPool: ConnectionPool
   private readonly hub: Hub
   private readonly dispatcher: Dispatcher
   private readonly schedulerSelector: SchedulerSelector
@@ -77,20 +77,19 @@
     }, clock, log)
     const { gossip, fleet } = this.directory
     const scheduler = new Scheduler(settings.limits, settings.isFirstStart, new CrashLog(log))
+    this.connectionPool = new ConnectionPool(log)
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare())
     this.dispatcher = new Dispatcher(clock, settings.limits.retries)
     this.retrySlack = new RetrySlack(settings.limits.retries.windowMs, clock.now())
-    this.schedulerSelector = new SchedulerSelector(
-      host, links.ip, this.hub, this.dispatcher, gossip, clock, (scheduler, reason) => {
-        log.info({ event: 'scheduler-chosen', scheduler, reason }, 'scheduler-chosen')
-      }
-    )
+    this.schedulerSelector = new SchedulerSelector(host, links.ip, this.hub, this.dispatcher, gossip, clock,
+      (scheduler, reason) => log.info({ event: 'scheduler-chosen', scheduler, reason }, 'scheduler-chosen'))
     this.ingress = new Ingress({
       headerNames: platform.headerNames,
       dataCentre,
       fleet,
       connectionPool: this.connectionPool,
+      bufferBudget: new BufferBudget(),
       dispatcher: this.dispatcher,
       clock,
       random: new SystemRandom(),
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -1,11 +1,11 @@
 import { connect, type Socket } from 'node:net'
-import { createLogger } from 'bunyan'
 import { Lifecycle, MonotonicClock, SeededRandom } from '../src/base/index.js'
 import { Dispatcher, Gossip, Hub } from '../src/dispatch/index.js'
 import { type BackendServer, Fleet } from '../src/fleet/index.js'
-import { ConnectionPool, type HeaderNames, Ingress } from '../src/forward/index.js'
+import { BufferBudget, ConnectionPool, type HeaderNames, Ingress } from '../src/forward/index.js'
 import { Deployment, type DeploymentParts, QuotaUnit, RetrySafety, type Route } from '../src/routing/index.js'
 import { Scheduler } from '../src/schedule/index.js'
+import { RecordedLog } from './recordedlog.js'
 import { type Script, ScriptedServer } from './scriptedserver.js'
 
 export { respond, type Script, ScriptedServer } from './scriptedserver.js'
@@ -75,6 +75,7 @@
   readonly fleet = new Fleet()
   isClosing = false
   isAccepting = true
+  readonly log = new RecordedLog()
   private readonly lifecycle = new Lifecycle()
   private readonly clock = new MonotonicClock()
   private readonly scheduler = new Scheduler(WIDE_LIMITS)
@@ -122,7 +123,7 @@
     const dispatcher = new Dispatcher(this.clock, WIDE_LIMITS.retries)
     dispatcher.retrySlackShare = 1
     dispatcher.switchScheduler(hub.connect('h', reply => dispatcher.handleReply(reply)))
-    const connectionPool = new ConnectionPool()
+    const connectionPool = new ConnectionPool(this.log.logger)
     connectionPool.setIdleLimits(new Map(this.servers.map(({ address }) => [address, IDLE_CONNECTIONS_PER_SERVER])))
     this.scheduler.setOrganisations(currentDeployment.organisations, this.clock.now())
     const ingress = new Ingress({
@@ -130,10 +131,11 @@
       dataCentre: 'd',
       fleet: this.fleet,
       connectionPool,
+      bufferBudget: new BufferBudget(),
       dispatcher,
       clock: this.clock,
       random: new SeededRandom(1),
-      log: createLogger({ name: 'test', level: 60 }),
+      log: this.log.logger,
       deployment: () => currentDeployment,
       isClosing: () => this.isClosing,
       isAccepting: () => this.isAccepting
