--- a/test/closing.test.ts
+++ b/test/closing.test.ts
@@ -2,24 +2,18 @@
 import { expect } from 'earl'
 import { RetrySafety } from '../src/routing/index.js'
 import { deployment, respond, Rig, route, type Script } from './rig.js'
+import { eventChunk, STREAM_END, STREAM_HEAD } from './streams.js'
 
 const POST = ['POST /a HTTP/1.1', 'x-attempt: a1']
 
-const HEAD = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n'
-
-function event (id: number): string {
-  const text = `id: ${id}\ndata: x\n\n`
-  return `${text.length.toString(16)}\r\n${text}\r\n`
-}
-
 function pause (ms: number): Promise<void> {
   return new Promise(resolve => { setTimeout(resolve, ms) })
 }
 
 /** Streams a response to each request that takes 100 ms. */
 const streamSlowly: Script = (_, __, socket) => {
-  socket.write(HEAD + event(1))
-  setTimeout(() => socket.write(`${event(2)}0\r\n\r\n`), 100)
+  socket.write(STREAM_HEAD + eventChunk(1))
+  setTimeout(() => socket.write(eventChunk(2) + STREAM_END), 100)
 }
 
 describe('a stopping host whose response was started before', () => {
@@ -50,7 +44,7 @@
     caller.send(POST, 'y')
     await pause(30)
     rig.isClosing = true
-    expect((await caller.readToEnd()).split('0\r\n\r\n').length - 1).toEqual(2)
+    expect((await caller.readToEnd()).split(STREAM_END).length - 1).toEqual(2)
   })
 })
 
--- a/test/silence.test.ts
+++ b/test/silence.test.ts
@@ -3,6 +3,7 @@
 import { RetrySafety } from '../src/routing/index.js'
 import { createScheduler, job, server } from './jobs.js'
 import { deployment, respond, Rig, route, type Script } from './rig.js'
+import { eventChunk, STREAM_END, STREAM_HEAD } from './streams.js'
 
 /** Longer than the silence after which a request may be sent to another server, in milliseconds. */
 const SILENCE_MS = 1_500
@@ -14,16 +15,10 @@
   return Number(text.split(' ')[1])
 }
 
-function event (id: number): string {
-  const text = `id: ${id}\ndata: x\n\n`
-  return `${text.length.toString(16)}\r\n${text}\r\n`
-}
-
 /** Sends the first event, then nothing for a while, then the rest of the stream. */
 const pauseStream: Script = (_, __, socket) => {
-  socket.write('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\n' +
-    `Transfer-Encoding: chunked\r\n\r\n${event(1)}`)
-  setTimeout(() => socket.write(`${event(2)}0\r\n\r\n`), SILENCE_MS)
+  socket.write(STREAM_HEAD + eventChunk(1))
+  setTimeout(() => socket.write(eventChunk(2) + STREAM_END), SILENCE_MS)
 }
 
 describe('a stream that another server continues', () => {
@@ -36,28 +31,24 @@
     const breakThenDecline: Script = (_, __, socket) => {
       if (!isFirst) respond(socket, '404 Not Found', 'gone', ['x-attempt: a1'])
       else {
-        socket.write('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\n' +
-          `Transfer-Encoding: chunked\r\n\r\n${event(1)}`, () => setTimeout(() => socket.resetAndDestroy(), 50))
+        socket.write(STREAM_HEAD + eventChunk(1), () => setTimeout(() => socket.resetAndDestroy(), 50))
       }
       isFirst = false
     }
     const route_ = route({ retrySafety: RetrySafety.stream, isResumable: true })
     rig = (await Rig.start(deployment({ routes: [route_] }), breakThenDecline, breakThenDecline)).rig
     const sentAt = performance.now()
-    expect((await rig.request(POST, 'x')).endsWith('0\r\n\r\n')).toEqual(false)
+    expect((await rig.request(POST, 'x')).endsWith(STREAM_END)).toEqual(false)
     expect(performance.now() - sentAt < 2_000).toEqual(true)
   })
 
   // Guards against: a stream was cut off because no slot was free at the moment when its server broke.
   it('waits for a slot until one is free', async () => {
     const breakFirst: Script = (_, __, socket) => {
-      const head = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\n' +
-        'Transfer-Encoding: chunked\r\n\r\n'
-      socket.write(head + event(1), () => setTimeout(() => socket.resetAndDestroy(), 50))
+      socket.write(STREAM_HEAD + eventChunk(1), () => setTimeout(() => socket.resetAndDestroy(), 50))
     }
     const goOn: Script = (_, __, socket) => {
-      socket.write('HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nx-attempt: a1\r\n' +
-        `Transfer-Encoding: chunked\r\n\r\n${event(2)}0\r\n\r\n`)
+      socket.write(STREAM_HEAD + eventChunk(2) + STREAM_END)
     }
     // The queue timeout of the request is a quarter of this timeout; it has passed when the second server is listed.
     const route_ = route({ retrySafety: RetrySafety.stream, isResumable: true, timeoutMs: 3_000 })
@@ -67,7 +58,7 @@
     await rig.addServer(goOn)
     const text = await response
     expect(text).toInclude('id: 2')
-    expect(text.endsWith('0\r\n\r\n')).toEqual(true)
+    expect(text.endsWith(STREAM_END)).toEqual(true)
   })
 })
 
@@ -81,7 +72,7 @@
     rig = (await Rig.start(deployment({ routes: [route_] }), pauseStream, pauseStream)).rig
     const text = await rig.request(POST, 'x')
     expect(text).toInclude('id: 2')
-    expect(text.endsWith('0\r\n\r\n')).toEqual(true)
+    expect(text.endsWith(STREAM_END)).toEqual(true)
   })
 
   // Guards against: a resumable stream was closed midway when no slot at another server was granted.
@@ -90,7 +81,7 @@
     rig = (await Rig.start(deployment({ routes: [route_] }), pauseStream)).rig
     const text = await rig.request(POST, 'x')
     expect(text).toInclude('id: 2')
-    expect(text.endsWith('0\r\n\r\n')).toEqual(true)
+    expect(text.endsWith(STREAM_END)).toEqual(true)
   })
 
   // Guards against: the caller got 502 for a call that its silent server completed later.
