--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -96,6 +96,12 @@
     return this.latestDeployment !== undefined && this.hasReadServer
   }
 
+  /** @returns the state of the calls to the store by table, for diagnosis by operators */
+  dumpFollowers (): Readonly<Record<string, unknown>> {
+    const now = this.clock.now()
+    return Object.fromEntries([...this.followers].map(([table, follower]) => [table, follower.dump(now)]))
+  }
+
   /** Starts to follow the store, and adds this host to the members. */
   start (): void {
     this.isFollowing = true
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -112,6 +112,7 @@
       isReady: this.isReady,
       isStopping: this.isStopping,
       deployment: directory.deployment?.revision,
+      tables: directory.dumpFollowers(),
       servers: directory.fleet.listUsable(this.clock.now()),
       members: directory.membership.list(),
       scheduler: schedulerSelector.schedulerHost,
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../base/index.js'
 import type { StoreFailure } from './failure.js'
 import type { Replica } from './replica.js'
+import type { RowBatch } from './row.js'
 import type { Store } from './store.js'
 
 /**
@@ -54,6 +55,9 @@
   /** Failed calls since the last successful one. */
   private failureCount = 0
   private pollAbort = new AbortController()
+  /** When the latest call was made and when the latest response arrived, in milliseconds of monotonic time. */
+  private calledAt: number
+  private answeredAt: number | undefined
 
   /**
    * @param store - the store to poll
@@ -71,6 +75,7 @@
     private readonly log: Logger,
     private readonly changesPauseMs = CHANGES_PAUSE_MS
   ) {
+    this.calledAt = clock.now()
     void this.run()
   }
 
@@ -79,6 +84,19 @@
     return this.failureCount === 0 && this.revision !== undefined
   }
 
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns the state of the calls to the store, for diagnosis by operators
+   */
+  dump (now: number): Readonly<Record<string, unknown>> {
+    return {
+      revision: this.revision,
+      failures: this.failureCount,
+      calledMsAgo: now - this.calledAt,
+      answeredMsAgo: this.answeredAt === undefined ? undefined : now - this.answeredAt
+    }
+  }
+
   /** Aborts a pending long poll, whose connection may be stalled, and polls again on another connection. */
   restart (): void {
     this.pollAbort.abort()
@@ -104,23 +122,27 @@
 
   /** @returns the pause until the next call, in milliseconds; undefined after a failure */
   private async listTable (): Promise<number | undefined> {
+    this.calledAt = this.clock.now()
     const timeoutMs = Math.min(INITIAL_LIST_TIMEOUT_MS * 2 ** this.failureCount, MAX_LIST_TIMEOUT_MS)
     const listed = await this.store.list(this.replica.table, timeoutMs)
     if (!this.isRunning) return 0
     if (listed.isErr()) return this.recordFailure(listed.error)
     this.recordSuccess(listed.value.storeMs)
     this.revision = listed.value.revision
+    this.logOutdated(listed.value)
     this.replica.applyTable(listed.value.rows, listed.value.revision, this.clock.now())
     return 0
   }
 
   /** @returns the pause until the next call, in milliseconds; undefined after a failure */
   private async readChanges (after: number): Promise<number | undefined> {
+    this.calledAt = this.clock.now()
     const pollAbort = this.pollAbort = new AbortController()
     const changes = await this.store.awaitChanges(this.replica.table, after, POLL_WAIT_MS, pollAbort.signal)
     if (!this.isRunning || pollAbort.signal.aborted) return 0
     if (changes.isErr()) {
       if (changes.error.code !== 'forgotten') return this.recordFailure(changes.error)
+      this.log.info({ event: 'history-forgotten', table: this.replica.table, after }, 'history-forgotten')
       this.revision = undefined
       return this.changesPauseMs
     }
@@ -128,11 +150,20 @@
     this.revision = Math.max(after, changes.value.revision)
     const { rows } = changes.value
     if (rows.length === 0) return 0
+    this.logOutdated(changes.value)
     const now = this.clock.now()
     const significantRows = rows.filter(row => this.replica.apply(row, now))
     return significantRows.length > 0 ? this.changesPauseMs : HEARTBEATS_PAUSE_MS
   }
 
+  /** Logs rows from the store of which this host knows newer revisions; they are not applied. */
+  private logOutdated ({ rows, revision }: RowBatch): void {
+    const outdated = rows.filter(row => this.replica.isOutdated(row)).length
+    if (outdated === 0) return
+    const { table, newestRevision } = this.replica
+    this.log.warn({ event: 'rows-outdated', table, outdated, revision, newestRevision }, 'rows-outdated')
+  }
+
   private recordFailure (failure: StoreFailure): undefined {
     this.failureCount++
     if (this.failureCount === 1) {
@@ -141,6 +172,7 @@
   }
 
   private recordSuccess (storeMs: number): void {
+    this.answeredAt = this.clock.now()
     this.observer.storeClockRead(storeMs)
     if (this.failureCount === 0) return
     this.log.info({ event: 'store-regained', table: this.replica.table, failures: this.failureCount }, 'store-regained')
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -26,6 +26,15 @@
    */
   constructor (readonly table: string, private readonly onRow: (row: Row) => boolean) {}
 
+  /**
+   * @param row - a row from the store
+   * @returns whether a newer revision of the row is known
+   */
+  isOutdated (row: Row): boolean {
+    const known = this.entries.get(row.key)
+    return known !== undefined && known.row.revision > row.revision
+  }
+
   /** The newest revision of all known rows. */
   get newestRevision (): number {
     return this.highestRevision
