--- a/standins/rows.ts
+++ b/standins/rows.ts
@@ -106,6 +106,11 @@
     for (const { response } of this.pendingFeeds.splice(0)) response.destroy()
   }
 
+  /** Never answers the waiting feed calls, and leaves their connections open, as connections do that fall silent. */
+  dropPendingFeeds (): void {
+    this.pendingFeeds = []
+  }
+
   /** Stops listening and closes all connections. */
   close (): void {
     this.server.close()
