Notice within 1.5 s that the store never answers a poll

Callers saw requests handled by old configurations, refused although their key was valid, and sent to servers that were leaving (CONFIG, DENIED, DRAIN), for up to 27.5 s after a silent outage of the store.

Cause: each host had a poll of 25 s pending for each table. A poll that is sent into a silent outage, 200 ms after a change, is never answered; nor is one whose connection falls silent. Gossip reveals missed rows only if some host has them, and the polls of all hosts fall into the same outage.

Ruled out: outdated rows (no line rows-outdated; the store counts no answered call in which they could have arrived) and refused polls (no line store-lost).

Change: polls wait 1 s, and 0 s after a failure, with 0.4 to 1.5 s more for the response. A host uses polls of 25 s only while it is linked to a scheduler whose own polls are answered (storeAgeMs in Pong); that scheduler's gossip reveals what they miss. After an unanswered call the pause counts from its start.

--- a/src/dispatch/gossip.ts
+++ b/src/dispatch/gossip.ts
@@ -1,7 +1,7 @@
 import { create } from '@bufbuild/protobuf'
 import type { Clock } from '../base/index.js'
 import type { Replica, Row } from '../store/index.js'
-import { type Behind, BehindSchema, type News, NewsSchema, type Standing, StandingSchema } from './dispatch_pb.js'
+import { type Behind, BehindSchema, type News, NewsSchema, type Pong, PongSchema, type Standing, StandingSchema } from './dispatch_pb.js'
 
 /**
  * How long this host may lag behind another one before it requests the missing rows, in milliseconds. The store
@@ -29,11 +29,13 @@
    * @param replicas - the local copies of the followed tables, in the same order on all hosts
    * @param clock - monotonic time
    * @param onLag - called with the tables in which this host lags behind another one, to query the store again
+   * @param storeAgeMs - time since the store last responded to this host, in milliseconds; undefined if it never did
    */
   constructor (
     private readonly replicas: readonly Replica[],
     private readonly clock: Clock,
-    private readonly onLag: (tables: readonly string[]) => void
+    private readonly onLag: (tables: readonly string[]) => void,
+    private readonly storeAgeMs: () => number | undefined = () => undefined
   ) {}
 
   /** @returns the version vector of this host: the newest revision that it has of each table */
@@ -41,6 +43,13 @@
     return create(StandingSchema, { revisions: this.replicas.map(replica => replica.newestRevision) })
   }
 
+  /** @returns the reply to a ping: the version vector, and how long ago the store responded to this host */
+  pong (): Pong {
+    const storeAgeMs = this.storeAgeMs()
+    const age = storeAgeMs === undefined ? {} : { storeAgeMs: Math.round(storeAgeMs) }
+    return create(PongSchema, { standing: this.versionVector(), ...age })
+  }
+
   /**
    * Compares the version vector of another host with that of this one, and remembers the host if it has newer rows.
    *
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -69,15 +69,19 @@
     return [...this.replyHandlers.keys()]
   }
 
-  /** Sends the version vector of this host to all connected hosts. */
+  /** Sends the version vector of this host, and how long ago the store responded to it, to all connected hosts. */
   broadcastVersionVector (): void {
     for (const host of this.replyHandlers.keys()) {
-      this.sendReply(host, 0, { case: 'pong', value: { standing: this.gossip.versionVector() } })
+      this.sendReply(host, 0, { case: 'pong', value: this.gossip.pong() })
     }
   }
 
-  /** Sends the speed estimates of the scheduler to all connected hosts, any of which may be selected next. */
-  publishSpeedEstimates (): void {
+  /**
+   * Sends the speed estimates of the scheduler to all connected hosts, any of which may be selected next, and the
+   * version vector and the time since the store last responded, on which they rely while the store is silent to them.
+   */
+  publishState (): void {
+    this.broadcastVersionVector()
     const { speeds } = this.scheduler.loads
     if (speeds.length === 0) return
     for (const host of this.replyHandlers.keys()) this.sendReply(host, 0, { case: 'paces', value: { paces: speeds } })
@@ -139,7 +143,7 @@
   private handleRowAsk (host: string, body: Ask['body']): void {
     switch (body.case) {
       case 'ping':
-        this.sendReply(host, 0, { case: 'pong', value: { standing: this.gossip.versionVector() } })
+        this.sendReply(host, 0, { case: 'pong', value: this.gossip.pong() })
         this.gossip.compare(body.value.standing, behind => this.sendReply(host, 0, { case: 'behind', value: behind }))
         break
       case 'behind':
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -52,6 +52,7 @@
   private readonly reports: Replica
   private readonly followers = new Map<string, Follower>()
   private isFollowing = false
+  private usesLongPolls = false
   /** Whether the reports' table is to be followed too. */
   private followsReports = false
   private latestDeployment: Deployment | undefined
@@ -83,7 +84,8 @@
       this.observer.reportChanged(row)
       return true
     })
-    this.gossip = new Gossip([...this.replicas, this.reports], clock, tables => this.restartFollowers(tables))
+    this.gossip = new Gossip([...this.replicas, this.reports], clock, tables => this.restartFollowers(tables),
+      () => this.storeAgeMs)
   }
 
   /** The newest deployment, or undefined if none is known yet. */
@@ -96,10 +98,33 @@
     return this.latestDeployment !== undefined && this.hasReadServer
   }
 
-  /** @returns the state of the calls to the store by table, for diagnosis by operators */
-  dumpFollowers (): Readonly<Record<string, unknown>> {
-    const now = this.clock.now()
-    return Object.fromEntries([...this.followers].map(([table, follower]) => [table, follower.dump(now)]))
+  /** Time since the store last responded, in milliseconds; undefined if it never did. */
+  private get storeAgeMs (): number | undefined {
+    const answeredAt = Math.max(...[...this.followers.values()].map(follower => follower.lastAnsweredAt ?? -Infinity))
+    return answeredAt === -Infinity ? undefined : this.clock.now() - answeredAt
+  }
+
+  /**
+   * Selects short or long polls of the store.
+   *
+   * @param usesLongPolls - whether another host reveals changes that this host's polls miss
+   */
+  setLongPolls (usesLongPolls: boolean): void {
+    this.usesLongPolls = usesLongPolls
+    for (const follower of this.followers.values()) follower.setLongPolls(usesLongPolls)
+  }
+
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns what this host knows, and its calls to the store by table, for diagnosis by operators
+   */
+  dump (now: number): Readonly<Record<string, unknown>> {
+    return {
+      deployment: this.latestDeployment?.revision,
+      servers: this.fleet.listUsable(now),
+      members: this.membership.list(),
+      tables: Object.fromEntries([...this.followers].map(([table, follower]) => [table, follower.dump(now)]))
+    }
   }
 
   /** Starts to follow the store, and adds this host to the members. */
@@ -124,10 +149,12 @@
 
   private follow (replica: Replica): void {
     const pauseMs = replica.table === this.platform.tables.members ? MEMBERS_PAUSE_MS : CHANGES_PAUSE_MS
-    this.followers.set(replica.table, new Follower(this.platform.store, replica, {
+    const follower = new Follower(this.platform.store, replica, {
       storeRecovered: () => this.storeRecovered(replica),
       storeClockRead: storeMs => this.observer.storeClockRead(storeMs)
-    }, this.clock, this.log, pauseMs))
+    }, this.clock, this.log, pauseMs)
+    follower.setLongPolls(this.usesLongPolls)
+    this.followers.set(replica.table, follower)
   }
 
   /** Follows the reports' table once there is an order; until then, calls to the store for it would be wasted. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,7 +20,7 @@
 /** Interval between updates of the usable servers, in milliseconds. */
 const REFRESH_MS = 500
 
-/** Interval at which the scheduler publishes its speed estimates, in milliseconds; these change within seconds. */
+/** Interval at which the scheduler publishes its state, in milliseconds; it changes within seconds. */
 const PUBLISH_MS = 1_000
 
 /**
@@ -111,10 +111,7 @@
     return {
       isReady: this.isReady,
       isStopping: this.isStopping,
-      deployment: directory.deployment?.revision,
-      tables: directory.dumpFollowers(),
-      servers: directory.fleet.listUsable(this.clock.now()),
-      members: directory.membership.list(),
+      ...directory.dump(this.clock.now()),
       scheduler: schedulerSelector.schedulerHost,
       linkedHosts: hub.connectedHosts,
       requests: this.ingress.activeRequestCount,
@@ -184,8 +181,9 @@
     if (now - this.refreshedAt >= REFRESH_MS) this.refresh(now)
     if (now - this.publishedAt >= PUBLISH_MS) {
       this.publishedAt = now
-      if (this.isScheduler) this.hub.publishSpeedEstimates()
+      if (this.isScheduler) this.hub.publishState()
     }
+    this.directory.setLongPolls(this.schedulerSelector.isStoreChecked(now))
     if (this.migrationController.hasOrders) this.migrationController.tick(this.isScheduler, now)
     this.directory.gossip.tick()
     this.schedulerSelector.tick()
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -6,10 +6,11 @@
 import type { Store } from './store.js'
 
 /**
- * How long the store may hold a call that waits for changes, in milliseconds. It can be long, since gossip with other
- * hosts reveals a stalled connection sooner.
+ * How long the store may hold a call that waits for changes, in milliseconds. A call that is never answered hides all
+ * changes until its timeout, so the wait is only long while another host with short polls would reveal them by gossip.
  */
-const POLL_WAIT_MS = 25_000
+const SHORT_POLL_WAIT_MS = 1_000
+const LONG_POLL_WAIT_MS = 25_000
 
 /** Pause after changes, in milliseconds; limits the number of calls when a table changes often. */
 export const CHANGES_PAUSE_MS = 200
@@ -21,11 +22,13 @@
 const HEARTBEATS_PAUSE_MS = 1_200
 
 /**
- * Initial and longest timeout for listing a table, in milliseconds. The initial one is only a few times the response
- * time of a slow store, since a host that has just started can't serve requests until the tables are listed.
+ * Initial and longest timeouts, in milliseconds, on top of the wait of a poll. The initial one is only a few times the
+ * response time of a slow store, since a host that has just started can't serve requests until the tables are listed.
+ * The longest one of polls is half of the time after an outage in which the missed changes must take effect.
  */
-const INITIAL_LIST_TIMEOUT_MS = 400
+const INITIAL_TIMEOUT_MS = 400
 const MAX_LIST_TIMEOUT_MS = 2_500
+const MAX_POLL_TIMEOUT_MS = 1_500
 
 /**
  * Initial and longest pause after a failed call, in milliseconds. The longest one counts towards the time within which
@@ -58,6 +61,7 @@
   /** When the latest call was made and when the latest response arrived, in milliseconds of monotonic time. */
   private calledAt: number
   private answeredAt: number | undefined
+  private usesLongPolls = false
 
   /**
    * @param store - the store to poll
@@ -97,6 +101,22 @@
     }
   }
 
+  /** When the store last responded, in milliseconds of monotonic time; undefined if it never did. */
+  get lastAnsweredAt (): number | undefined {
+    return this.answeredAt
+  }
+
+  /**
+   * Selects short or long polls. Long ones are for hosts to which another host reveals missed changes.
+   *
+   * @param usesLongPolls - whether polls may stay pending for long
+   */
+  setLongPolls (usesLongPolls: boolean): void {
+    if (usesLongPolls === this.usesLongPolls) return
+    this.usesLongPolls = usesLongPolls
+    if (!usesLongPolls) this.restart()
+  }
+
   /** Aborts a pending long poll, whose connection may be stalled, and polls again on another connection. */
   restart (): void {
     this.pollAbort.abort()
@@ -113,7 +133,7 @@
       const pauseMs = this.revision === undefined ? await this.listTable() : await this.readChanges(this.revision)
       if (pauseMs === undefined) {
         const retryPauseMs = Math.min(INITIAL_RETRY_PAUSE_MS * 2 ** (this.failureCount - 1), MAX_RETRY_PAUSE_MS)
-        await this.clock.sleep(retryPauseMs)
+        await this.clock.sleep(Math.max(0, retryPauseMs - (this.clock.now() - this.calledAt)))
       } else {
         await this.clock.sleep(pauseMs)
       }
@@ -123,8 +143,7 @@
   /** @returns the pause until the next call, in milliseconds; undefined after a failure */
   private async listTable (): Promise<number | undefined> {
     this.calledAt = this.clock.now()
-    const timeoutMs = Math.min(INITIAL_LIST_TIMEOUT_MS * 2 ** this.failureCount, MAX_LIST_TIMEOUT_MS)
-    const listed = await this.store.list(this.replica.table, timeoutMs)
+    const listed = await this.store.list(this.replica.table, this.timeoutMs(MAX_LIST_TIMEOUT_MS))
     if (!this.isRunning) return 0
     if (listed.isErr()) return this.recordFailure(listed.error)
     this.recordSuccess(listed.value.storeMs)
@@ -138,7 +157,9 @@
   private async readChanges (after: number): Promise<number | undefined> {
     this.calledAt = this.clock.now()
     const pollAbort = this.pollAbort = new AbortController()
-    const changes = await this.store.awaitChanges(this.replica.table, after, POLL_WAIT_MS, pollAbort.signal)
+    const timeoutMs = this.pollWaitMs + this.timeoutMs(MAX_POLL_TIMEOUT_MS)
+    const changes = await this.store.awaitChanges(
+      this.replica.table, after, this.pollWaitMs, timeoutMs, pollAbort.signal)
     if (!this.isRunning || pollAbort.signal.aborted) return 0
     if (changes.isErr()) {
       if (changes.error.code !== 'forgotten') return this.recordFailure(changes.error)
@@ -156,6 +177,16 @@
     return significantRows.length > 0 ? this.changesPauseMs : HEARTBEATS_PAUSE_MS
   }
 
+  /** How long the next poll may wait, in milliseconds. After a failure, it shows at once whether the outage is over. */
+  private get pollWaitMs (): number {
+    if (this.failureCount > 0) return 0
+    return this.usesLongPolls ? LONG_POLL_WAIT_MS : SHORT_POLL_WAIT_MS
+  }
+
+  private timeoutMs (maxMs: number): number {
+    return Math.min(INITIAL_TIMEOUT_MS * 2 ** this.failureCount, maxMs)
+  }
+
   /** Logs rows from the store of which this host knows newer revisions; they are not applied. */
   private logOutdated ({ rows, revision }: RowBatch): void {
     const outdated = rows.filter(row => this.replica.isOutdated(row)).length
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -19,11 +19,12 @@
    * @param table - name of the table
    * @param after - returns only changes newer than this revision
    * @param waitMs - how long the store may hold the call while there are no changes, in milliseconds
+   * @param timeoutMs - how long to wait for the response, in milliseconds
    * @param signal - aborts the call
    * @returns the changes in the order of their revisions; none if there were none within the wait
    */
   awaitChanges (
-    table: string, after: number, waitMs: number, signal: AbortSignal
+    table: string, after: number, waitMs: number, timeoutMs: number, signal: AbortSignal
   ): Promise<Result<RowBatch, StoreFailure>>
 
   /**
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -36,6 +36,20 @@
     await waitFor(() => submissions.every(({ placements }) => placements.length === 1))
   })
 
+  // Guards against missed changes: a host waited long for each answer of the store, and so did its scheduler.
+  it('rely on the scheduler to check the store only while the store responds to it', async () => {
+    const [first, second] = await start(2)
+    const isStoreChecked = (host: TestHost): boolean => host.selector.isStoreChecked(clock.now())
+    expect(isStoreChecked(second!)).toEqual(false)
+    first!.storeAgeMs = 100
+    first!.hub.publishState()
+    await waitFor(() => isStoreChecked(second!))
+    expect(isStoreChecked(first!)).toEqual(false)
+    first!.storeAgeMs = 60_000
+    first!.hub.publishState()
+    await waitFor(() => !isStoreChecked(second!))
+  })
+
   it('switch to the next scheduler when the first one stops, and report running jobs to it', async () => {
     const [first, second, third] = await start(3)
     const runningJob = submit(third!)
@@ -71,7 +85,7 @@
     await waitFor(() => placements.length === 1)
     handle.reportEnded(Outcome.done, 77)
     await waitFor(() => first!.scheduler.loads.speeds.length === 1)
-    first!.hub.publishSpeedEstimates()
+    first!.hub.publishState()
     await waitFor(() => second!.scheduler.loads.speeds.length === 1)
     expect(second!.scheduler.loads.speeds[0]!.stepMs).toEqual(77)
     first!.close()
--- a/test/testhost.ts
+++ b/test/testhost.ts
@@ -20,7 +20,11 @@
   readonly selectedSchedulers: string[] = []
   /** Tables in which this host lacked rows of its peers. */
   readonly laggingTables: string[] = []
-  readonly gossip = new Gossip([this.replica], clock, tables => { this.laggingTables.push(...tables) })
+  /** Time since the store last responded to this host, in milliseconds; undefined if it never did. */
+  storeAgeMs: number | undefined
+  readonly gossip = new Gossip([this.replica], clock, tables => { this.laggingTables.push(...tables) },
+    () => this.storeAgeMs)
+
   readonly hub = new Hub(this.scheduler, this.gossip, clock)
   readonly dispatcher = new Dispatcher(clock, WIDE_LIMITS.retries)
   readonly selector: SchedulerSelector
