Move the times of a response out of Delivery

Its times of arrival, their derived durations and log fields are a class of their own now. No change of behaviour.

--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -14,6 +14,7 @@
 import { buildOutgoingHeaders } from './outgoingheaders.js'
 import { ReceiveLimit } from './receivelimit.js'
 import { classifyResponse } from './responseoutcome.js'
+import { ResponseTimes } from './responsetimes.js'
 
 /** A server is silent if it sends nothing for this time or twice the latency objective, if longer; in milliseconds. */
 const MIN_SILENCE_MS = 1_000
@@ -29,11 +30,7 @@
   failureReason = ''
   private readonly connection: ServerConnection
   private readonly exchange: Exchange
-  private readonly sentAt: number
-  private lastReceivedAt: number
-  private firstReceivedAt: number | undefined
-  private eventCount = 0
-  private longestEventGapMs = 0
+  private readonly times: ResponseTimes
   private status = 0
   private headers: RawHeaders = []
   private isCloseDelimited = false
@@ -62,29 +59,25 @@
     private readonly response: CallerResponse,
     private readonly listener: DeliveryListener
   ) {
-    this.sentAt = this.lastReceivedAt = context.clock.now()
+    this.times = new ResponseTimes(context.clock.now())
     this.connection = context.connectionPool.acquire(server.address)
     const { method, target, body } = request
-    const headers = buildOutgoingHeaders(context.headerNames, request, server, sequencer.lastEventId, this.sentAt)
+    const headers = buildOutgoingHeaders(context.headerNames, request, server, sequencer.lastEventId, this.times.sentAt)
     const outgoing = { method, target, headers, body: body.length > 0 ? body : null }
     this.exchange = new Exchange(this.connection, outgoing, this)
   }
 
   /** Mean time between a stream's events, or duration of a request that is not streamed; in milliseconds, if known. */
   get stepMs (): number | undefined {
-    if (!this.isStreaming) return this.lastReceivedAt - this.sentAt
-    return this.eventCount > 1 ? (this.lastReceivedAt - this.firstReceivedAt!) / (this.eventCount - 1) : undefined
+    return this.isStreaming ? this.times.meanEventGapMs : this.times.durationMs
   }
 
   /** Fields that describe the delivery in the log; times in milliseconds. */
   get logFields (): Readonly<Record<string, unknown>> {
-    const firstMs = this.firstReceivedAt === undefined ? undefined : Math.round(this.firstReceivedAt - this.sentAt)
     return {
       server: this.server.id,
-      waitedMs: Math.round(this.sentAt - this.request.arrivedAt),
-      firstMs,
-      longestPauseMs: Math.round(this.longestEventGapMs),
-      events: this.eventCount,
+      waitedMs: Math.round(this.times.sentAt - this.request.arrivedAt),
+      ...this.times.logFields,
       tokens: this.request.promptTokens,
       expectedTokens: this.request.expectedTokens
     }
@@ -110,7 +103,7 @@
    *   for its caller; in milliseconds
    */
   silenceMs (now: number): number {
-    return this.isWaitingForCaller ? 0 : now - this.lastReceivedAt
+    return this.isWaitingForCaller ? 0 : now - this.times.lastReceivedAt
   }
 
   onSent (): void {
@@ -166,7 +159,7 @@
       this.startResponse()
       this.listener.onEnded(this, this.isCloseDelimited ? Outcome.ended : Outcome.done, undefined)
     } else {
-      this.lastReceivedAt = this.context.clock.now()
+      this.times.lastReceivedAt = this.context.clock.now()
       const { status, headers, isCloseDelimited } = this
       const result = { status, headers, isCloseDelimited, body: this.body.toBuffer() }
       this.listener.onEnded(this, classifyResponse(status, headers, this.context.headerNames), result)
@@ -206,7 +199,7 @@
     this.isWaitingForCaller = true
     this.response.onDrain(() => {
       this.isWaitingForCaller = false
-      this.lastReceivedAt = this.context.clock.now()
+      this.times.lastReceivedAt = this.context.clock.now()
       this.exchange.resume()
     })
   }
@@ -218,16 +211,8 @@
 
   /** Records the time of an event, or of the headers of a response that is not streamed. */
   private recordArrival (): void {
-    const now = this.context.clock.now()
-    this.eventCount++
     this.receiveLimit.recordEvent()
-    if (this.firstReceivedAt !== undefined) {
-      this.longestEventGapMs = Math.max(this.longestEventGapMs, now - this.lastReceivedAt)
-      this.lastReceivedAt = now
-      return
-    }
-    this.lastReceivedAt = this.firstReceivedAt = now
-    this.listener.onStarted()
+    if (this.times.recordArrival(this.context.clock.now())) this.listener.onStarted()
   }
 
   private finish (): void {
