Log the limits of requests that servers state

The header is decoded now, each host keeps what servers stated to it, and logs each change (server-limit). A response to a request sent before the limit was first stated does not end it, and a 421 comes from another server. Nothing acts on the limits yet.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -1,9 +1,11 @@
 import type { Clock } from '../base/index.js'
+import type { BackendServer } from '../fleet/index.js'
 import { HOST_BUDGET_SHARE, type Job, type Outcome, Refusal, type RetryLimits, RetryBudget } from '../schedule/index.js'
 import type { SchedulerConnection } from './connection.js'
 import type { Reply } from './dispatch_pb.js'
 import type { JobState, Placement, JobHandle } from './jobhandle.js'
 import { createAsk, encodeJob } from './messages.js'
+import { type LimitObserver, StatedLimits } from './statedlimits.js'
 
 /**
  * Requests slots for the jobs of this host from the selected scheduler. When another scheduler is selected, hands over
@@ -22,14 +24,24 @@
    */
   private readonly retryBudgets = new Map<string, RetryBudget>()
 
+  /** Limits of requests that servers stated to this host. */
+  private readonly statedLimits: StatedLimits
+
   /** Share of the slack of the retry budgets that this host may use, 0 to 1. */
   retrySlackShare = 0
 
   /**
    * @param clock - monotonic time
    * @param retryLimits - limits of the retries of all hosts together
+   * @param onLimitChange - called when a server states another limit of requests to this host than before
    */
-  constructor (private readonly clock: Clock, private readonly retryLimits: RetryLimits) {}
+  constructor (
+    private readonly clock: Clock,
+    private readonly retryLimits: RetryLimits,
+    onLimitChange: LimitObserver = () => undefined
+  ) {
+    this.statedLimits = new StatedLimits(onLimitChange)
+  }
 
   /**
    * Requests a slot for a job.
@@ -54,13 +66,16 @@
     if (!this.checkRetryBudget(job, state.requestedAt)) {
       onPlacement({ kind: 'refused', reason: Refusal.retryBudget, retryAfterMs: 0 })
       const ignore = (): void => undefined
-      return { reportStarted: ignore, reportSilent: ignore, reportEnded: ignore, withdraw: ignore }
+      return {
+        reportStarted: ignore, reportSilent: ignore, reportRequestLimit: ignore, reportEnded: ignore, withdraw: ignore
+      }
     }
     this.jobs.set(state.number, state)
     this.scheduler?.send(createAsk(state.number, { case: 'place', value: encodeJob(state.job, state.requestedAt) }))
     return {
       reportStarted: () => this.reportStarted(state),
       reportSilent: () => this.reportSilent(state),
+      reportRequestLimit: (server, requestsPerS) => this.reportRequestLimit(state, server, requestsPerS),
       reportEnded: (outcome, stepMs) => this.reportEnded(state, outcome, stepMs),
       withdraw: () => this.withdraw(state)
     }
@@ -152,6 +167,10 @@
     this.scheduler?.send(createAsk(state.number, { case: 'silent', value: { server: state.server } }))
   }
 
+  private reportRequestLimit (state: JobState, server: BackendServer, requestsPerS: number | undefined): void {
+    this.statedLimits.record(server, requestsPerS, state.requestedAt, this.clock.now())
+  }
+
   private reportEnded (state: JobState, outcome: Outcome, stepMs = 0): void {
     if (!this.jobs.delete(state.number) || state.server === undefined) return
     this.scheduler?.send(createAsk(state.number, { case: 'ended', value: { server: state.server, outcome, stepMs } }))
--- a/src/dispatch/jobhandle.ts
+++ b/src/dispatch/jobhandle.ts
@@ -1,3 +1,4 @@
+import type { BackendServer } from '../fleet/index.js'
 import type { Job, Outcome, Refusal } from '../schedule/index.js'
 
 /** The scheduler's decision on a request for a slot. */
@@ -13,6 +14,14 @@
   /** Reports that the server sends nothing, though the job still holds its slot. Only the first report counts. */
   reportSilent (): void
 
+  /**
+   * Reports what the server's response states of its limit of requests.
+   *
+   * @param server - the server
+   * @param requestsPerS - requests per second from all hosts together; undefined if the response states no limit
+   */
+  reportRequestLimit (server: BackendServer, requestsPerS: number | undefined): void
+
   /**
    * Reports that the job no longer occupies its slot.
    *
--- /dev/null
+++ b/src/dispatch/statedlimits.ts
@@ -0,0 +1,59 @@
+import type { BackendServer } from '../fleet/index.js'
+
+/**
+ * How long a limit is kept that the server has not stated again, in milliseconds. Servers state it in all responses, so
+ * an older one belongs to a server that gets no requests or is gone.
+ */
+const RETENTION_MS = 60_000
+
+/** A limit that a server states in its responses. */
+export interface StatedLimit {
+  readonly server: BackendServer
+  /** Requests per second from all hosts together. */
+  readonly requestsPerS: number
+  /** When the server last stated it, in milliseconds of monotonic time. */
+  readonly statedAt: number
+}
+
+/**
+ * Called when a server states another limit than before.
+ *
+ * @param server - id of the server
+ * @param requestsPerS - the limit; undefined if the server no longer states one
+ */
+export type LimitObserver = (server: string, requestsPerS: number | undefined) => void
+
+/** The limits of requests that servers stated in their responses to this host. */
+export class StatedLimits {
+  private readonly limits = new Map<string, StatedLimit>()
+
+  /** @param onChange - called with each change */
+  constructor (private readonly onChange: LimitObserver) {}
+
+  /**
+   * Records what a response states.
+   *
+   * @param server - the server that sent the response
+   * @param requestsPerS - the stated limit; undefined if there is none
+   * @param requestedAt - before the request was sent, in milliseconds of monotonic time
+   * @param now - monotonic time, in milliseconds
+   */
+  record (server: BackendServer, requestsPerS: number | undefined, requestedAt: number, now: number): void {
+    const known = this.limits.get(server.id)
+    if (requestsPerS !== undefined) this.limits.set(server.id, { server, requestsPerS, statedAt: now })
+    // A response to an earlier request may have been sent before the limit was first stated.
+    else if (known !== undefined && requestedAt > known.statedAt) this.limits.delete(server.id)
+    else return
+    if (known?.requestsPerS !== requestsPerS) this.onChange(server.id, requestsPerS)
+    this.evictOld(now)
+  }
+
+  /** @returns all limits that are stated */
+  list (): StatedLimit[] {
+    return [...this.limits.values()]
+  }
+
+  private evictOld (now: number): void {
+    for (const [id, { statedAt }] of this.limits) if (now - statedAt > RETENTION_MS) this.limits.delete(id)
+  }
+}
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -143,6 +143,7 @@
     this.log('sent', { server: server.id, send: this.sendCount + 1 })
     this.delivery = new Delivery(this.context, this.request, server, this.sequencer, this.response, {
       onSent: () => { this.sendCount++ },
+      onRequestLimit: requestsPerS => job.reportRequestLimit(server, requestsPerS),
       onStarted: () => job.reportStarted(),
       onEnded: (delivery, outcome, result) => this.handleDeliveryEnd(delivery, outcome, result)
     })
@@ -159,10 +160,8 @@
       this.log('unsendable', { reason: delivery.failureReason })
       this.response.sendText(Status.badRequest, 'the request can not be passed on')
       this.finish()
-    } else if (outcome === Outcome.failed) {
-      this.failedResponse.serverFailure = result
-      this.handleLost(delivery, outcome)
     } else {
+      if (outcome === Outcome.failed) this.failedResponse.serverFailure = result
       this.handleLost(delivery, outcome)
     }
   }
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -13,8 +13,10 @@
 import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders, statedBodyLength } from './headers.js'
 import { buildOutgoingHeaders } from './outgoingheaders.js'
 import { ReceiveLimit } from './receivelimit.js'
+import { readRequestLimit } from './requestlimit.js'
 import { classifyResponse } from './responseoutcome.js'
 import { ResponseTimes } from './responsetimes.js'
+import { Status } from './status.js'
 
 /** A server is silent if it sends nothing for this time or twice the latency objective, if longer; in milliseconds. */
 const MIN_SILENCE_MS = 1_000
@@ -125,6 +127,10 @@
       this.abortAsBroken('the response belongs to another attempt')
       return
     }
+    // The server at this address is another one.
+    if (status !== Status.misdirected) {
+      this.listener.onRequestLimit(readRequestLimit(headers, this.context.headerNames))
+    }
     this.status = status
     this.headers = endToEndHeaders(headers, REWRITTEN_HEADERS)
     this.isCloseDelimited = isCloseDelimited(headers)
--- a/src/forward/deliverylistener.ts
+++ b/src/forward/deliverylistener.ts
@@ -7,6 +7,13 @@
   /** Called when the request may have reached the server. */
   onSent (): void
 
+  /**
+   * Called when the status and headers of the server's own response arrive.
+   *
+   * @param requestsPerS - the limit of requests that the server states; undefined if it states none
+   */
+  onRequestLimit (requestsPerS: number | undefined): void
+
   /** Called when the first event arrives, or the headers of a response that is not streamed. */
   onStarted (): void
 
--- a/src/forward/headernames.ts
+++ b/src/forward/headernames.ts
@@ -12,6 +12,8 @@
   readonly serverId: string
   /** Set in a response if the server did not run the request. */
   readonly notRun: string
+  /** Requests per second that a server accepts from all hosts together; set in its responses while it is in need. */
+  readonly requestLimit: string
   /** Id of the last event that the caller received. */
   readonly lastEventId: string
   /** Number of prompt tokens and greatest number of output tokens, separated by a comma. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -80,7 +80,8 @@
     this.connectionPool = new ConnectionPool(log)
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare())
-    this.dispatcher = new Dispatcher(clock, settings.limits.retries)
+    this.dispatcher = new Dispatcher(clock, settings.limits.retries,
+      (server, requestsPerS) => log.info({ event: 'server-limit', server, requestsPerS }, 'server-limit'))
     this.retrySlack = new RetrySlack(settings.limits.retries.windowMs, clock.now())
     this.schedulerSelector = new SchedulerSelector(host, links.ip, this.hub, this.dispatcher, gossip, clock,
       (scheduler, reason) => log.info({ event: 'scheduler-chosen', scheduler, reason }, 'scheduler-chosen'))
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -18,6 +18,7 @@
   organisation: 'x-organisation',
   serverId: 'x-server',
   notRun: 'x-not-run',
+  requestLimit: 'x-request-limit',
   lastEventId: 'x-last-event',
   tokenUsage: 'x-usage',
   promptParts: 'x-parts',
