Pace the requests to a server that states a limit

Ruled out: hosts that each keep to it, or schedule for themselves (no source named the header, and no host changed its scheduler), and retries (no server turned a request away).

Change: each host reports the limit to the scheduler with each response that states it; a token bucket for the server, with one second's worth of requests, paces the grants. It begins empty, so that changes of scheduler grant nothing twice; hosts hand over what servers stated to them, and a host that schedules for itself uses its share. The limit belongs to one incarnation, and ends with the first response that states none, of a request granted after the limit was last stated. A request passes every 4 s whatever the limit, since only a response can end it.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -4,7 +4,7 @@
 import type { SchedulerConnection } from './connection.js'
 import type { Reply } from './dispatch_pb.js'
 import type { JobState, Placement, JobHandle } from './jobhandle.js'
-import { createAsk, encodeJob } from './messages.js'
+import { createAsk, encodeJob, encodeRequestLimit } from './messages.js'
 import { type LimitObserver, StatedLimits } from './statedlimits.js'
 
 /**
@@ -82,8 +82,8 @@
   }
 
   /**
-   * Switches to another scheduler. Hands over the quota balances and the jobs that hold a slot, then requests the slots
-   * of the queued jobs again.
+   * Switches to another scheduler. Hands over the quota balances, the limits that servers state and the jobs that hold
+   * a slot, then requests the slots of the queued jobs again.
    *
    * @param scheduler - the connection to the scheduler
    */
@@ -94,6 +94,9 @@
       { organisation, level: balance, ageMs: now - at }
     ))
     if (balances.length > 0) scheduler.send(createAsk(0, { case: 'levels', value: { levels: balances } }))
+    for (const { server, requestsPerS } of this.statedLimits.list()) {
+      scheduler.send(createAsk(0, encodeRequestLimit(server, requestsPerS)))
+    }
     for (const state of this.jobs.values()) {
       const { number, job, server, hasStarted } = state
       if (server === undefined) continue
@@ -169,6 +172,8 @@
 
   private reportRequestLimit (state: JobState, server: BackendServer, requestsPerS: number | undefined): void {
     this.statedLimits.record(server, requestsPerS, state.requestedAt, this.clock.now())
+    if (requestsPerS === undefined) return
+    this.scheduler?.send(createAsk(state.number, encodeRequestLimit(server, requestsPerS)))
   }
 
   private reportEnded (state: JobState, outcome: Outcome, stepMs = 0): void {
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -2,7 +2,7 @@
 import type { CrashEvidence } from '../poison/index.js'
 import { type Effect, Outcome, type Scheduler } from '../schedule/index.js'
 import type { ReplyHandler, SchedulerConnection } from './connection.js'
-import type { Ask } from './dispatch_pb.js'
+import type { Ask, RequestLimit } from './dispatch_pb.js'
 import type { Gossip } from './gossip.js'
 import { createReply, decodeJob, encodeCrashes } from './messages.js'
 
@@ -125,6 +125,9 @@
       case 'ended':
         this.handleProgress(id, body, now)
         break
+      case 'requestLimit':
+        this.recordRequestLimit(id, body.value, now)
+        break
       case 'withdraw':
         this.scheduler.withdraw(id, body.value.service, now)
         break
@@ -166,6 +169,11 @@
     }
   }
 
+  private recordRequestLimit (id: string, { server, born, requestsPerS }: RequestLimit, now: number): void {
+    const load = this.scheduler.loads.get(server)
+    if (load?.server.born === born) load.recordRequestLimit(id, requestsPerS, now)
+  }
+
   private reportCrashes (now: number): void {
     const { revision } = this.scheduler.crashes
     if (revision === this.reportedCrashes.revision || now - this.reportedCrashes.at < CRASH_REPORT_INTERVAL_MS) return
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -1,4 +1,5 @@
 import { create, type MessageInitShape } from '@bufbuild/protobuf'
+import type { BackendServer } from '../fleet/index.js'
 import type { CrashEvidence } from '../poison/index.js'
 import type { Job } from '../schedule/index.js'
 import {
@@ -63,6 +64,15 @@
   })
 }
 
+/**
+ * @param server - a backend server
+ * @param requestsPerS - the limit of requests that it states
+ * @returns the body of a message to a scheduler
+ */
+export function encodeRequestLimit ({ id, born }: BackendServer, requestsPerS: number): AskBody {
+  return { case: 'requestLimit', value: { server: id, born, requestsPerS } }
+}
+
 /**
  * Decodes a job of another host.
  *
--- a/src/schedule/load.ts
+++ b/src/schedule/load.ts
@@ -1,21 +1,11 @@
 import type { BackendServer } from '../fleet/index.js'
 import { Health } from './health.js'
 import { type Job, ranksBelow } from './job.js'
-import { Outcome } from './outcome.js'
+import { ANSWERED, Outcome } from './outcome.js'
+import { RequestLimit } from './requestlimit.js'
+import type { RunningJob } from './runningjob.js'
 import { SpeedEstimate } from './speed.js'
 
-/** A job that was granted a slot of a server. */
-export interface RunningJob {
-  readonly job: Job
-  readonly grantedAt: number
-  /** Prompt tokens that the server had to process before this job's first event, its own included. */
-  readonly tokensBefore: number
-  /** When the first event arrived. */
-  firstEventAt: number | undefined
-  /** Whether the server was reported as silent for this job. */
-  isSilent: boolean
-}
-
 /** Round-trip time to a server in another data centre, in milliseconds. */
 const REMOTE_ROUND_TRIP_MS = 4
 
@@ -51,19 +41,33 @@
   readonly speed = new SpeedEstimate()
   readonly health = new Health()
   readonly running = new Map<string, RunningJob>()
+  private requestLimit: RequestLimit | undefined
 
   /** @param server - the server as last announced */
   constructor (public server: BackendServer) {}
 
   /**
-   * Adds a job to the server.
+   * Grants a slot of the server to a job.
+   *
+   * @param job - the job
+   * @param now - monotonic time, in milliseconds
+   */
+  grant (job: Job, now: number): void {
+    this.requestLimit?.take()
+    this.addJob(job, now)
+  }
+
+  /**
+   * Adds a job that holds a slot of the server.
    *
    * @param job - the job that was granted a slot
    * @param now - monotonic time, in milliseconds
    */
   addJob (job: Job, now: number): void {
     const tokensBefore = this.pendingPromptTokens + job.promptTokens
-    this.running.set(job.id, { job, grantedAt: now, tokensBefore, firstEventAt: undefined, isSilent: false })
+    this.running.set(job.id, {
+      job, grantedAt: now, tokensBefore, firstEventAt: undefined, isSilent: false, statesLimit: false
+    })
   }
 
   /**
@@ -75,6 +79,7 @@
   recordFirstEvent (jobId: string, now: number): void {
     const run = this.running.get(jobId)
     if (run === undefined || run.firstEventAt !== undefined) return
+    this.recordResponse(run)
     run.firstEventAt = now
     this.speed.recordFirstEvent(now - run.grantedAt, run.tokensBefore)
   }
@@ -101,12 +106,39 @@
    * @param now - monotonic time, in milliseconds
    */
   removeJob (jobId: string, outcome: Outcome, stepMs: number | undefined, now: number): void {
-    const wasSilent = this.running.get(jobId)?.isSilent === true
+    const run = this.running.get(jobId)
+    const wasSilent = run?.isSilent === true
+    if (run?.firstEventAt === undefined && ANSWERED.has(outcome)) this.recordResponse(run)
     this.running.delete(jobId)
     if (outcome !== Outcome.silent || !wasSilent) this.health.recordOutcome(outcome, now)
     if (stepMs !== undefined) this.speed.recordStep(stepMs)
   }
 
+  /**
+   * Records the limit of requests that a response of the server states.
+   *
+   * @param jobId - the id of the job whose response it is
+   * @param requestsPerS - requests per second from all hosts together
+   * @param now - monotonic time, in milliseconds
+   */
+  recordRequestLimit (jobId: string, requestsPerS: number, now: number): void {
+    if (this.requestLimit === undefined) this.requestLimit = new RequestLimit(requestsPerS, now)
+    else this.requestLimit.update(requestsPerS, now)
+    const run = this.running.get(jobId)
+    if (run !== undefined) run.statesLimit = true
+  }
+
+  /** Requests per second that the server accepts from all hosts together; undefined if it states no limit. */
+  get requestsPerS (): number | undefined {
+    return this.requestLimit?.requestsPerS
+  }
+
+  /** Ends the limit of requests if the response of a job that was granted after it was last stated states none. */
+  private recordResponse (run: RunningJob | undefined): void {
+    if (run === undefined || run.statesLimit || this.requestLimit === undefined) return
+    if (run.grantedAt > this.requestLimit.statedAt) this.requestLimit = undefined
+  }
+
   /** Prompt tokens that the server has yet to process before it can start on another prompt. */
   get pendingPromptTokens (): number {
     let tokens = 0
@@ -122,7 +154,8 @@
   freeSlots (share: number, now: number): number {
     if (this.health.isBackingOff(now)) return 0
     const slots = this.health.isProbing ? 1 : Math.max(1, Math.ceil(this.server.slots * share))
-    return Math.max(0, slots - this.running.size)
+    const freeSlots = Math.max(0, slots - this.running.size)
+    return Math.min(freeSlots, this.requestLimit?.available(share, now) ?? Infinity)
   }
 
   /**
@@ -191,25 +224,3 @@
     return this.expectedDurationMs(job) / Math.max(1, job.deadlineAt - now)
   }
 }
-
-/**
- * Chooses the server with the lowest cost for a job.
- *
- * @param loads - servers of the job's service with a free slot
- * @param job - a queued job
- * @param now - monotonic time, in milliseconds
- * @returns the server, or undefined if the job should wait
- */
-export function chooseCheapest (loads: readonly ServerLoad[], job: Job, now: number): ServerLoad | undefined {
-  let best: ServerLoad | undefined
-  let lowestMs = Infinity
-  for (const load of loads) {
-    if (job.excludedServers.includes(load.server.id)) continue
-    if (load.wouldDelayStreams(job, now) || load.wouldMissDeadline(job, now)) continue
-    const costMs = load.costMs(job, now)
-    if (costMs >= lowestMs) continue
-    best = load
-    lowestMs = costMs
-  }
-  return best
-}
--- a/src/schedule/loads.ts
+++ b/src/schedule/loads.ts
@@ -65,6 +65,7 @@
       id,
       service: load.server.service,
       running: load.running.size,
+      requestsPerS: load.requestsPerS,
       unreadTokens: load.pendingPromptTokens,
       tokenMs: load.speed.tokenMs,
       stepMs: load.speed.stepMs
--- a/src/schedule/migrations.ts
+++ b/src/schedule/migrations.ts
@@ -1,7 +1,9 @@
 import type { BackendServer } from '../fleet/index.js'
 import { type ExposureLimits, Migration, type MigrationOrder, MigrationStage, Side } from '../migration/index.js'
 import type { Job } from './job.js'
-import { chooseCheapest, type RunningJob, type ServerLoad } from './load.js'
+import { chooseCheapest } from './cheapest.js'
+import type { ServerLoad } from './load.js'
+import type { RunningJob } from './runningjob.js'
 import { Outcome } from './outcome.js'
 
 /** Outcomes that count as failures of a server's version. */
--- a/src/schedule/outcome.ts
+++ b/src/schedule/outcome.ts
@@ -27,5 +27,9 @@
 /** One of the values of {@link Outcome}. */
 export type Outcome = typeof Outcome[keyof typeof Outcome]
 
+/** Outcomes with a response of the server itself. */
+export const ANSWERED: ReadonlySet<Outcome> =
+  new Set([Outcome.done, Outcome.ended, Outcome.declined, Outcome.failed, Outcome.rejected])
+
 /** Outcomes with a response that is passed on to the caller, and that show that the server works. */
 export const SUCCESSES: ReadonlySet<Outcome> = new Set([Outcome.done, Outcome.ended, Outcome.declined])
--- a/src/schedule/scheduler.ts
+++ b/src/schedule/scheduler.ts
@@ -221,7 +221,7 @@
       const load = this.crashes.mustWait(job) ? undefined : this.migrations.chooseServer(loads, available, job, now)
       if (load !== undefined) {
         state.queue.remove(job.id)
-        load.addJob(job, now)
+        load.grant(job, now)
         this.migrations.recordGrant(job, load.server)
         this.crashes.recordGrant(job, load.server, now)
         state.grantRates.recordResult(job.rank, true, now)
--- a/test/serverlimit.test.ts
+++ b/test/serverlimit.test.ts
@@ -4,6 +4,7 @@
 import type { Member } from '../src/dispatch/index.js'
 import { readRequestLimit } from '../src/forward/requestlimit.js'
 import { Outcome } from '../src/schedule/index.js'
+import { RequestLimit } from '../src/schedule/requestlimit.js'
 import { server } from './jobs.js'
 import { deployment, HEADER_NAMES, respond, Rig } from './rig.js'
 import { clock, submit, TestHost, waitFor } from './testhost.js'
@@ -19,6 +20,9 @@
 const LIMIT_PER_S = 2
 const REQUEST_INTERVAL_MS = 40
 
+/** Response time of the server without a limit, in milliseconds, so that the one with a limit is preferred. */
+const SLOW_RESPONSE_MS = 300
+
 /** @returns the most requests within any window that begins after the limit has become binding */
 function busiestWindow (arrivals: readonly number[], statedAt: number): number {
   const binding = arrivals.filter(at => at >= statedAt + CONTACT_MS)
@@ -41,13 +45,13 @@
     rig = undefined
   })
 
-  /** Sends requests at a steady rate to a server with a limit and one without. */
+  /** Sends requests at a steady rate to a fast server with a limit and a slow one without. */
   async function sendRequests (durationMs: number, isLimited: () => boolean): Promise<number[]> {
     const arrivals: number[] = []
     const started = await Rig.start(deployment(), (_, __, socket) => {
       arrivals.push(performance.now())
       respond(socket, '200 OK', 'ok', isLimited() ? [`X-Request-Limit: ${LIMIT_PER_S}.0`] : [])
-    }, (_, __, socket) => respond(socket, '200 OK', 'ok'))
+    }, (_, __, socket) => setTimeout(() => respond(socket, '200 OK', 'ok'), SLOW_RESPONSE_MS))
     rig = started.rig
     const endAt = performance.now() + durationMs
     while (performance.now() < endAt) {
@@ -86,25 +90,43 @@
     }
     await waitFor(() => hosts.every(host => host.selector.schedulerHost === names[0]))
     const grants: number[] = []
+    const submissions: Array<ReturnType<typeof submit>> = []
     const stopFirstAt = clock.now() + CONTACT_MS + WINDOW_MS / 2
     const endAt = clock.now() + CONTACT_MS + 1.5 * WINDOW_MS
     for (let i = 0; clock.now() < endAt; i++) {
       if (hosts.length === 3 && clock.now() > stopFirstAt) hosts.shift()!.close()
-      const { handle, placements } = submit(hosts[i % hosts.length]!, { promptTokens: 0 })
-      void waitFor(() => placements.length > 0).then(() => {
-        if (placements[0]!.kind !== 'granted') return
+      submissions.push(submit(hosts[i % hosts.length]!, { promptTokens: 0 }))
+      await sleep(REQUEST_INTERVAL_MS)
+      for (const { handle, placements } of submissions) {
+        if (placements.pop()?.kind !== 'granted') continue
         grants.push(clock.now())
         handle.reportRequestLimit(limited, LIMIT_PER_S)
         handle.reportStarted()
         handle.reportEnded(Outcome.done, 1)
-      })
-      await sleep(REQUEST_INTERVAL_MS)
+      }
     }
     expect(busiestWindow(grants, grants[0]!) <= allowed).toEqual(true)
     expect(grants.some(at => at > stopFirstAt)).toEqual(true)
   })
 })
 
+describe('RequestLimit', () => {
+  // Guards against a server that is never asked again: it states a limit of 0, and only a response can end that.
+  it('lets a request pass now and then, whatever the limit', () => {
+    const limit = new RequestLimit(0, 0)
+    expect(limit.available(1, 3_900)).toEqual(0)
+    expect(limit.available(1, 4_100)).toEqual(1)
+    limit.take()
+    expect(limit.available(1, 4_200)).toEqual(0)
+  })
+
+  it('grants each scheduler its share, and does not save up requests for longer than a second', () => {
+    const limit = new RequestLimit(8, 0)
+    expect(limit.available(0.5, 500)).toEqual(2)
+    expect(limit.available(1, 60_000)).toEqual(8)
+  })
+})
+
 describe('readRequestLimit', () => {
   it('reads decimal numbers and nothing else', () => {
     const read = (value: string): number | undefined => readRequestLimit(['X-Request-Limit', value], HEADER_NAMES)
