Let four hosts at most check a store that does not respond

The first four members in the ranking do it now; the others keep their long polls and learn by gossip.

The new test fails without the change: all hosts but the scheduling one check.

--- a/src/dispatch/selector.ts
+++ b/src/dispatch/selector.ts
@@ -6,6 +6,7 @@
 import { Link } from './link.js'
 import type { Member } from './member.js'
 import { createAsk, encodeCrashes } from './messages.js'
+import { StoreCheck } from './storecheck.js'
 
 /** Key under which the members are ranked; all hosts must use the same one to agree on the order. */
 const RANKING_KEY = 'scheduler'
@@ -31,12 +32,6 @@
 /** Time before a host whose link failed is connected to again, in milliseconds. */
 const RECONNECT_DELAY_MS = 600
 
-/**
- * How long ago the store may have responded to the scheduler in use, in milliseconds, while this host relies on it to
- * reveal missed changes. A little longer than a short poll and the interval between two reports of its age.
- */
-const STORE_CHECK_TIMEOUT_MS = 2_500
-
 /**
  * How long this host looks for another scheduler after it lost one before it uses its own, in milliseconds: many
  * network round trips. Requests stay queued meanwhile, since its own scheduler does not know which jobs of the other
@@ -56,8 +51,7 @@
   private isLocal = false
   /** When and why the last scheduler was lost; undefined once another is selected. */
   private loss: { readonly at: number, readonly reason: string } | undefined
-  /** When the store last responded to the selected host, in milliseconds of monotonic time; undefined if unknown. */
-  private storeAnsweredAt: number | undefined
+  private readonly storeCheck = new StoreCheck()
   private readonly lastFailureAtByHost = new Map<string, number>()
 
   /**
@@ -104,14 +98,12 @@
   }
 
   /**
-   * Whether the scheduler in use is at another host, which reveals by gossip the changes that this host's polls of the
-   * store miss.
-   *
    * @param now - monotonic time, in milliseconds
+   * @returns whether another host reveals by gossip the changes that this host's polls of the store miss
    */
   isStoreChecked (now: number): boolean {
-    if (this.link === undefined || this.storeAnsweredAt === undefined) return false
-    return now - this.storeAnsweredAt <= STORE_CHECK_TIMEOUT_MS
+    const rank = this.rankedMembers.findIndex(({ host }) => host === this.host)
+    return this.link !== undefined && this.storeCheck.isLeftToOthers(rank, now)
   }
 
   /** Sends the version vector of this host to the selected host, unless that is this host. */
@@ -182,8 +174,7 @@
   private handleReply (link: Link, reply: Reply): void {
     const { body } = reply
     if (body.case === 'pong') {
-      const { storeAgeMs } = body.value
-      this.storeAnsweredAt = storeAgeMs === undefined ? undefined : this.clock.now() - storeAgeMs
+      this.storeCheck.record(body.value.storeAgeMs, this.clock.now())
       this.gossip.compare(body.value.standing, behind => link.send(createAsk(0, { case: 'behind', value: behind })))
     } else if (body.case === 'behind') {
       link.send(createAsk(0, { case: 'news', value: this.gossip.missingRows(body.value) }))
@@ -204,7 +195,7 @@
     const previous = this.link
     this.link = link
     this.linkedMember = member
-    this.storeAnsweredAt = undefined
+    this.storeCheck.reset()
     this.disconnectLocal()
     previous?.close('a higher-ranked member was selected')
     this.handOverCrashes(link)
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -50,6 +50,16 @@
     await waitFor(() => !isStoreChecked(second!))
   })
 
+  // Guards against overload of the store when it recovers: all hosts of a large fleet would check it each second.
+  it('leave it to the first of them to check a store that does not respond to the scheduler', async () => {
+    const ranked = await start(6)
+    const isStoreChecked = (host: TestHost): boolean => host.selector.isStoreChecked(clock.now())
+    ranked[0]!.storeAgeMs = 60_000
+    ranked[0]!.hub.publishState()
+    await new Promise(resolve => setTimeout(resolve, 100))
+    expect(ranked.map(isStoreChecked)).toEqual([false, false, false, false, true, true])
+  })
+
   it('switch to the next scheduler when the first one stops, and report running jobs to it', async () => {
     const [first, second, third] = await start(3)
     const runningJob = submit(third!)
