Compare the speed of a canary's servers with that of like ones

Cause: a response counted as slow only beyond 2.5 times the slowest stable server. Engines differ in speed by a factor of five, and the scheduler sends most of the canary's requests to its fast ones, which are as fast as slow stable ones.

Ruled out: too few responses (30 and 55), cancelled ones (none).

Change: latencies are fitted as a factor of the server times one of the route; the canary is rolled back if its servers' factors are twice those of the stable servers on average and that of its fastest 2.5 times that of the fastest stable one. The count of bad responses is unchanged.

--- a/src/migration/analysis.ts
+++ b/src/migration/analysis.ts
@@ -1,5 +1,6 @@
 import { isSignificantlyWorse, type ResponseCounts } from './counts.js'
 import { LatencyBaselines } from './latency.js'
+import { SpeedComparison } from './speedcomparison.js'
 
 /** Outcome of one request, as evidence for or against the version of its server. */
 export interface Observation {
@@ -28,15 +29,20 @@
   private readonly routes = new Map<string, RouteAnalysis>()
   private readonly total = { canary: { responses: 0, bad: 0 }, stable: { responses: 0, bad: 0 } }
   private readonly lastLossAt = new Map<string, number>()
+  private readonly speeds = new SpeedComparison()
+  private isCanarySlower = false
 
   /** Number of canary responses that neither failed nor were slow. */
   get healthyResponses (): number {
     return this.total.canary.responses - this.total.canary.bad
   }
 
-  /** Whether the canary has significantly more bad responses than the stable versions, on any route or in total. */
+  /**
+   * Whether the canary is slower than the stable versions, or has significantly more bad responses on any route or in
+   * total.
+   */
   get isCanaryWorse (): boolean {
-    if (isSignificantlyWorse(this.total.canary, this.total.stable)) return true
+    if (this.isCanarySlower || isSignificantlyWorse(this.total.canary, this.total.stable)) return true
     for (const { canary, stable } of this.routes.values()) if (isSignificantlyWorse(canary, stable)) return true
     return false
   }
@@ -53,6 +59,7 @@
       this.lastLossAt.set(observation.server, now)
       if (previousLossAt !== undefined && now - previousLossAt < LOSS_WINDOW_MS) return
     }
+    if (!observation.isFailure) this.compareSpeeds(observation)
     const route = this.routeAnalysis(observation.route)
     const isSlow = observation.latencyMs !== undefined &&
       route.latencies.record(observation.server, observation.isCanary, observation.latencyMs)
@@ -63,6 +70,12 @@
     }
   }
 
+  private compareSpeeds ({ route, server, isCanary, latencyMs }: Observation): void {
+    if (latencyMs === undefined) return
+    this.speeds.record(route, server, isCanary, latencyMs)
+    if (isCanary) this.isCanarySlower = this.speeds.isCanarySlower
+  }
+
   private routeAnalysis (name: string): RouteAnalysis {
     let route = this.routes.get(name)
     if (route === undefined) {
