--- a/src/forward/requestlimit.ts
+++ b/src/forward/requestlimit.ts
@@ -1,7 +1,8 @@
 import type { HeaderNames } from './headernames.js'
 import { findHeader, type RawHeaders } from './headers.js'
 
-const DECIMAL = /^\d{1,9}(\.\d{1,9})?$/
+/** A decimal number with as many places as a double may be written with. */
+const DECIMAL = /^(\d{1,9}(\.\d{0,20})?|\.\d{1,20})$/
 
 /**
  * @param headers - the headers of a server's response
--- a/test/serverlimit.test.ts
+++ b/test/serverlimit.test.ts
@@ -130,8 +130,9 @@
 describe('readRequestLimit', () => {
   it('reads decimal numbers and nothing else', () => {
     const read = (value: string): number | undefined => readRequestLimit(['X-Request-Limit', value], HEADER_NAMES)
-    expect(['3.3', '0', ' 12 '].map(read)).toEqual([3.3, 0, 12])
-    expect(['-1', '1e3', 'NaN', '', '1,5', '0x10', '9'.repeat(30)].every(value => read(value) === undefined)).toEqual(true)
+    expect(['3.3', '0', ' 12 ', '.5', '2.'].map(read)).toEqual([3.3, 0, 12, 0.5, 2])
+    expect(read('2.8333333333333335')).toEqual(17 / 6)
+    expect(['-1', '1e3', 'NaN', '', '.', '1,5', '0x10', '9'.repeat(30)].every(value => read(value) === undefined)).toEqual(true)
     expect(readRequestLimit([], HEADER_NAMES)).toEqual(undefined)
   })
 })
