--- a/standins/rows.ts
+++ b/standins/rows.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net'
 
 /** One stored row, in the platform's wire format. */
-interface StoredRow {
+export interface StoredRow {
   table: string
   part: string
   key: string
@@ -33,6 +33,13 @@
   readonly response: ServerResponse
 }
 
+/** A copy of the store, to which it can return. */
+export interface StoreCopy {
+  readonly rows: ReadonlyMap<string, StoredRow>
+  readonly history: readonly StoredRow[]
+  readonly version: number
+}
+
 interface TransactionRequest {
   expected_revision?: StoredRow[]
   writes?: StoredRow[]
@@ -52,6 +59,8 @@
   /** Version up to which the history has been discarded. */
   private compactedUpTo = 0
   private version = 0
+  /** Rises each time the store returns from a copy; sent in all responses. */
+  private era = 1
   private pendingFeeds: PendingFeed[] = []
   private readonly server: Server
 
@@ -106,6 +115,25 @@
     for (const { response } of this.pendingFeeds.splice(0)) response.destroy()
   }
 
+  /**
+   * Returns from a copy of an earlier time: writes since then are lost, and their versions are given out again.
+   *
+   * @param copy - the copy, from {@link takeCopy}
+   */
+  restore (copy: StoreCopy): void {
+    this.closePendingFeeds()
+    this.rows.clear()
+    for (const [key, row] of copy.rows) this.rows.set(key, row)
+    this.history = [...copy.history]
+    this.version = copy.version
+    this.era++
+  }
+
+  /** @returns a copy of all rows and the history */
+  takeCopy (): StoreCopy {
+    return { rows: new Map(this.rows), history: [...this.history], version: this.version }
+  }
+
   /** Never answers the waiting feed calls, and leaves their connections open, as connections do that fall silent. */
   dropPendingFeeds (): void {
     this.pendingFeeds = []
@@ -153,7 +181,7 @@
 
   /** Answers a feed call, or defers it by at most `waitMs` milliseconds if there are no changes yet. */
   private sendFeed (response: ServerResponse, table: string, after: number, waitMs = 0): void {
-    if (after < this.compactedUpTo) {
+    if (after < this.compactedUpTo || after > this.version) {
       this.sendReply(response, 410, {})
       return
     }
@@ -192,7 +220,7 @@
   }
 
   private sendReply (response: ServerResponse, status: number, body: object): void {
-    response.writeHead(status, { 'content-type': 'application/json' })
+    response.writeHead(status, { 'content-type': 'application/json', 'store-era': String(this.era) })
     response.end(JSON.stringify({ ...body, row_version: this.version, now_ms: Math.round(performance.now()) }))
   }
 }
