Order the store's revisions across its returns from a copy

A deployment written after the store had returned from a copy was never applied, if its version had been given out before (CONFIG in the users' drill); the same holds for servers and members.

Cause: revisions were the store's versions alone. A copy gives them out a second time, so that new rows looked outdated, and a poll after a lost version was answered 410, or with a part of the changes.

Change: a revision is the store's era and its version in one number, decoded and encoded in platform/rowstore only. A poll, condition or response of another era counts as forgotten, so that the table is listed again; replicas drop rows of earlier eras. With a new era, hosts write their own row again if the list lacks it, and the scheduling host writes lost or older reports of migrations again; an order that the new era repeats is not a new one. Missing servers get the grace of an outage; the same incarnation of a server that was draining or gone gets nothing for 5 s.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -14,6 +14,10 @@
   server: BackendServer | undefined
   /** When the entry was removed, in milliseconds of monotonic time; undefined if it is present. */
   removedAt: number | undefined
+  /** The server of an entry that was removed. */
+  departed: BackendServer | undefined
+  /** Until this monotonic time, the server gets no requests though its entry says that it is ready. */
+  heldUntil: number
 }
 
 /**
@@ -22,6 +26,12 @@
  */
 export const OUTAGE_GRACE_MS = 2_000
 
+/**
+ * Time after the store has returned from a copy in which the copy may list a server that has left meanwhile, in
+ * milliseconds: several heartbeats, after which its entry is corrected or removed.
+ */
+const COPY_DOUBT_MS = 5_000
+
 /** How long a removed entry is remembered, in milliseconds, so that changes that arrive late do not restore it. */
 const REMOVED_RETENTION_MS = 60_000
 
@@ -30,6 +40,8 @@
   private readonly entries = new Map<string, Entry>()
   /** Until this monotonic time, the removal of an entry may be an effect of a store outage. */
   private graceUntil = 0
+  /** Until this monotonic time, an entry may be from the copy to which the store has returned. */
+  private doubtUntil = 0
 
   /**
    * Starts the grace period after a store outage. Servers whose entries are removed in this period stay usable until
@@ -41,6 +53,17 @@
     this.graceUntil = now + OUTAGE_GRACE_MS
   }
 
+  /**
+   * Starts the time after the store has returned from a copy. Servers that are missing stay usable as after an outage;
+   * servers that were draining or gone stay unusable until it ends, though the copy lists them as ready.
+   *
+   * @param now - monotonic time, in milliseconds
+   */
+  startEra (now: number): void {
+    this.startOutageGrace(now)
+    this.doubtUntil = now + COPY_DOUBT_MS
+  }
+
   /**
    * Applies a change unless a newer change of the same entry is known.
    *
@@ -51,16 +74,28 @@
   apply (change: FleetChange, now: number): boolean {
     const known = this.entries.get(change.id)
     if (known !== undefined && known.revision >= change.revision) return false
-    const keepsServer = change.server === undefined && now < this.graceUntil && known?.server?.isDraining === false
-    this.entries.set(change.id, {
-      revision: change.revision,
-      server: change.server ?? (keepsServer ? known?.server : undefined),
-      removedAt: change.server === undefined ? now : undefined
-    })
+    this.entries.set(change.id, this.nextEntry(known, change, now))
     this.evictRemoved(now)
     return known?.removedAt !== undefined || !isHeartbeat(known?.server, change.server)
   }
 
+  private nextEntry (known: Entry | undefined, { revision, server }: FleetChange, now: number): Entry {
+    const departed = known?.server ?? known?.departed
+    if (server !== undefined) {
+      const heldUntil = this.isHeld(known, server, now) ? this.doubtUntil : 0
+      return { revision, server, removedAt: undefined, departed, heldUntil }
+    }
+    const keepsServer = now < this.graceUntil && known?.server?.isDraining === false
+    return { revision, server: keepsServer ? known.server : undefined, removedAt: now, departed, heldUntil: 0 }
+  }
+
+  /** Whether a listed server is the same incarnation as one that was draining or gone before the store returned. */
+  private isHeld (known: Entry | undefined, server: BackendServer, now: number): boolean {
+    const last = known?.server ?? known?.departed
+    if (now >= this.doubtUntil || last === undefined) return false
+    return isSameIncarnation(last, server) && (last.isDraining || known?.server === undefined || now < known.heldUntil)
+  }
+
   private evictRemoved (now: number): void {
     for (const [id, { removedAt }] of this.entries) {
       if (removedAt !== undefined && now - removedAt > REMOVED_RETENTION_MS) this.entries.delete(id)
@@ -77,7 +112,7 @@
   findUsable (id: string, now: number): BackendServer | undefined {
     const entry = this.entries.get(id)
     const server = entry?.server
-    if (entry === undefined || server === undefined || server.isDraining) return undefined
+    if (entry === undefined || server === undefined || server.isDraining || now < entry.heldUntil) return undefined
     return entry.removedAt !== undefined && now >= this.graceUntil ? undefined : server
   }
 
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -151,7 +151,9 @@
     const pauseMs = replica.table === this.platform.tables.members ? MEMBERS_PAUSE_MS : CHANGES_PAUSE_MS
     const follower = new Follower(this.platform.store, replica, {
       storeRecovered: () => this.storeRecovered(replica),
-      storeClockRead: storeMs => this.observer.storeClockRead(storeMs)
+      storeClockRead: storeMs => this.observer.storeClockRead(storeMs),
+      eraChanged: () => this.eraChanged(),
+      tableListed: () => { if (replica.table === this.platform.tables.members) this.membership.restoreOwnRow() }
     }, this.clock, this.log, pauseMs)
     follower.setLongPolls(this.usesLongPolls)
     this.followers.set(replica.table, follower)
@@ -164,6 +166,12 @@
     if (this.isFollowing) this.follow(this.reports)
   }
 
+  /** Entries of servers that the copy lacks are written again within the same time as after an outage. */
+  private eraChanged (): void {
+    this.fleet.startEra(this.clock.now())
+    for (const follower of this.followers.values()) follower.restart()
+  }
+
   private storeRecovered (replica: Replica): void {
     if (replica.table === this.platform.tables.servers) this.fleet.startOutageGrace(this.clock.now())
   }
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -20,6 +20,7 @@
 export class Membership {
   private readonly entries = new Map<string, { readonly member: Member | undefined, readonly revision: number }>()
   private isLeaving = false
+  private isJoining = false
 
   /**
    * @param store - holds the rows
@@ -64,10 +65,18 @@
     if (row.key === this.self.host && row.value === undefined && !this.isLeaving) void this.join()
   }
 
+  /** Writes this host's row again if a list of the table lacks it, as after the store has returned from a copy. */
+  restoreOwnRow (): void {
+    const isListed = this.entries.get(this.self.host)?.member !== undefined
+    if (!isListed && !this.isLeaving && !this.isJoining) void this.join()
+  }
+
   /** Writes this host's row; retries until the write succeeds or the host leaves. */
   async join (): Promise<void> {
     const value = Buffer.from(JSON.stringify({ address: this.self.address, cores: this.self.cores }))
+    this.isJoining = true
     await this.write(value, () => !this.isLeaving)
+    this.isJoining = false
   }
 
   /** Removes this host's row. The write is not retried, since closed links show the same to other hosts. */
--- a/src/gateway/migrationcontroller.ts
+++ b/src/gateway/migrationcontroller.ts
@@ -1,7 +1,7 @@
 import type Logger from 'bunyan'
 import { type MigrationOrder, type MigrationReport, MigrationStage } from '../migration/index.js'
 import type { Migrations } from '../schedule/index.js'
-import type { Row } from '../store/index.js'
+import { eraOf, type Row } from '../store/index.js'
 import type { Platform } from './platform.js'
 
 /**
@@ -17,11 +17,19 @@
   readonly order: MigrationOrder
   /** When this host received the order, in milliseconds of monotonic time. */
   readonly receivedAt: number
+  /** Revision of the latest row that holds the order. */
+  readonly rowRevision: number
 }
 
 interface KnownReport {
-  readonly report: MigrationReport | undefined
+  readonly report: MigrationReport
   readonly revision: number
+  /** Key of its row. */
+  readonly key: string
+  /** Revision of the row in the store; 0 if there is none. */
+  readonly storedRevision: number
+  /** Whether the store has lost the report, so that it has to be written again. */
+  readonly isLost: boolean
 }
 
 /** Passes orders of version migrations from the store to the scheduler, and reports the scheduler's decisions. */
@@ -71,7 +79,17 @@
   applyOrder (row: Row, now: number): boolean {
     const order = this.platform.readMigrationOrder(row)
     if (order === undefined) return false
-    this.orders.set(order.service, { order, receivedAt: now })
+    const known = this.orders.get(order.service)
+    if (known !== undefined && isSameOrder(known, order)) {
+      this.orders.set(order.service, { ...known, rowRevision: row.revision })
+      const report = this.reports.get(order.service)
+      // Hosts that start now take a report that is older than the order's row for one on a previous order.
+      if (report !== undefined && report.storedRevision < row.revision) {
+        this.reports.set(order.service, { ...report, isLost: true })
+      }
+      return true
+    }
+    this.orders.set(order.service, { order, receivedAt: now, rowRevision: row.revision })
     this.log.info({ event: 'move-ordered', ...order }, 'move-ordered')
     this.updateScheduler(order.service)
     return true
@@ -83,9 +101,17 @@
    * @param row - a row of the reports' table
    */
   applyReport (row: Row): void {
+    const known = [...this.reports.values()].find(({ key }) => key === row.key)
     const report = this.platform.readMigrationReport(row)
+    if (known !== undefined && eraOf(row.revision) > eraOf(known.revision) && this.isOlder(report, known.report)) {
+      const storedRevision = row.value === undefined ? 0 : row.revision
+      this.reports.set(known.report.service, { ...known, storedRevision, isLost: true })
+      return
+    }
     if (report === undefined) return
-    this.reports.set(report.service, { report, revision: row.revision })
+    this.reports.set(report.service, {
+      report, revision: row.revision, key: row.key, storedRevision: row.revision, isLost: false
+    })
     this.updateScheduler(report.service)
   }
 
@@ -100,6 +126,10 @@
       if (now < (this.nextWriteAt.get(order.service) ?? now)) continue
       const migration = this.migrations.getLatest(order.service, now)
       const report = this.findReport(order)
+      if (isScheduler && report !== undefined && this.reports.get(order.service)!.isLost) {
+        void this.writeReport(report, now)
+        continue
+      }
       const hasEnded = report !== undefined && report.stage !== MigrationStage.running
       if (!isScheduler || migration === undefined || hasEnded || report?.stage === migration.stage) continue
       const dueAt = this.storeClockOffsetMs === undefined
@@ -137,14 +167,30 @@
     return Math.abs(reportedDueAt - localDueAt) < DUE_TIME_TOLERANCE_MS ? localDueAt : reportedDueAt
   }
 
+  /** Whether a report that a copy of the store holds, or its absence, is from before a known report. */
+  private isOlder (report: MigrationReport | undefined, known: MigrationReport): boolean {
+    if (report === undefined) return true
+    if (report.version !== known.version) return report.version !== this.orders.get(known.service)?.order.version
+    return report.stage === MigrationStage.running && known.stage !== MigrationStage.running
+  }
+
   private async writeReport (report: MigrationReport, now: number): Promise<void> {
     const { service } = report
     this.nextWriteAt.set(service, Infinity)
-    const expectedRevision = this.reports.get(service)?.revision ?? 0
-    const written = await this.platform.store.write([this.platform.encodeMigrationReport(report, expectedRevision)])
+    const expectedRevision = this.reports.get(service)?.storedRevision ?? 0
+    const write = this.platform.encodeMigrationReport(report, expectedRevision)
+    const written = await this.platform.store.write([write])
     this.nextWriteAt.set(service, now + RETRY_PAUSE_MS)
     const reason = written.isErr() ? written.error.message : undefined
     this.log.info({ event: 'move-reported', ...report, reason }, 'move-reported')
-    if (written.isOk()) this.reports.set(service, { report, revision: written.value })
+    if (written.isErr()) return
+    const { value: revision } = written
+    this.reports.set(service, { report, revision, key: write.key, storedRevision: revision, isLost: false })
   }
 }
+
+/** Whether a row of a new era holds the order that is known: the copy has it, or the operator wrote it again. */
+function isSameOrder (known: KnownOrder, order: MigrationOrder): boolean {
+  return eraOf(order.revision) > eraOf(known.rowRevision) &&
+    order.version === known.order.version && order.durationMs === known.order.durationMs
+}
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../base/index.js'
 import type { StoreFailure } from './failure.js'
 import type { Replica } from './replica.js'
+import { eraOf } from './revision.js'
 import type { RowBatch } from './row.js'
 import type { Store } from './store.js'
 
@@ -48,6 +49,12 @@
    * @param storeMs - monotonic time of the store, in milliseconds
    */
   storeClockRead (storeMs: number): void
+
+  /** Called when the store has returned from a copy, before the rows of the new era are applied. */
+  eraChanged (): void
+
+  /** Called after a list of the whole table was applied. */
+  tableListed (): void
 }
 
 /** Keeps the replica of one table up to date by polling the store for changes. */
@@ -62,6 +69,8 @@
   private calledAt: number
   private answeredAt: number | undefined
   private usesLongPolls = false
+  /** Era of the latest list; undefined before the first one. */
+  private era: number | undefined
 
   /**
    * @param store - the store to poll
@@ -147,9 +156,11 @@
     if (!this.isRunning) return 0
     if (listed.isErr()) return this.recordFailure(listed.error)
     this.recordSuccess(listed.value.storeMs)
+    this.updateEra(listed.value)
     this.revision = listed.value.revision
     this.logOutdated(listed.value)
     this.replica.applyTable(listed.value.rows, listed.value.revision, this.clock.now())
+    this.observer.tableListed()
     return 0
   }
 
@@ -177,6 +188,17 @@
     return significantRows.length > 0 ? this.changesPauseMs : HEARTBEATS_PAUSE_MS
   }
 
+  /** Only a list can begin a new era for this table, since polls name a revision of the known one. */
+  private updateEra ({ rows, revision }: RowBatch): void {
+    const era = eraOf(revision)
+    const previousEra = this.era
+    this.era = era
+    if (previousEra === undefined || previousEra === era) return
+    const { table } = this.replica
+    this.log.warn({ event: 'store-returned', table, previousEra, era, rows: rows.length }, 'store-returned')
+    this.observer.eraChanged()
+  }
+
   /** How long the next poll may wait, in milliseconds. After a failure, it shows at once whether the outage is over. */
   private get pollWaitMs (): number {
     if (this.failureCount > 0) return 0
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -2,5 +2,6 @@
 export { type StoreFailureCode, StoreFailure } from './failure.js'
 export type { Row, RowBatch, RowWrite } from './row.js'
 export type { Store } from './store.js'
+export { eraOf, MAX_ERA, revisionOf, versionOf } from './revision.js'
 export { Replica } from './replica.js'
 export { CHANGES_PAUSE_MS, Follower, type StoreObserver } from './follower.js'
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -1,3 +1,4 @@
+import { eraOf } from './revision.js'
 import type { Row } from './row.js'
 
 /**
@@ -18,6 +19,8 @@
 export class Replica {
   private readonly entries = new Map<string, Entry>()
   private highestRevision = 0
+  /** The latest era of the store of which a row or list is known; what earlier eras say is outdated. */
+  private era = 0
 
   /**
    * @param table - name of the table
@@ -41,7 +44,7 @@
   }
 
   /**
-   * Applies a row unless its key is known with the same or a newer revision.
+   * Applies a row unless its key is known with the same or a newer revision, or it is from an earlier era.
    *
    * @param row - from the store or another host
    * @param now - monotonic time, in milliseconds
@@ -49,7 +52,8 @@
    */
   apply (row: Row, now: number): boolean {
     const known = this.entries.get(row.key)
-    if (known !== undefined && known.row.revision >= row.revision) return false
+    if (eraOf(row.revision) < this.era || (known !== undefined && known.row.revision >= row.revision)) return false
+    this.era = eraOf(row.revision)
     this.entries.set(row.key, { row, appliedAt: now })
     this.highestRevision = Math.max(this.highestRevision, row.revision)
     this.evictRemoved(now)
@@ -65,6 +69,8 @@
    * @param now - monotonic time, in milliseconds
    */
   applyTable (rows: readonly Row[], revision: number, now: number): void {
+    if (eraOf(revision) < this.era) return
+    this.era = eraOf(revision)
     const listedKeys = new Set(rows.map(row => row.key))
     for (const [key, { row }] of this.entries) {
       if (listedKeys.has(key) || row.value === undefined || row.revision > revision) continue
--- a/src/store/row.ts
+++ b/src/store/row.ts
@@ -4,7 +4,7 @@
   readonly key: string
   /** Undefined for a row that was removed. */
   readonly value: Buffer | undefined
-  /** Taken from one counter for all tables; of two revisions the higher is the newer. */
+  /** Era and version of the store, from one counter for all tables; of two revisions the higher is the newer. */
   readonly revision: number
 }
 
--- a/standins/rows.ts
+++ b/standins/rows.ts
@@ -99,6 +99,11 @@
     return value === undefined ? undefined : JSON.parse(Buffer.from(value, 'base64').toString())
   }
 
+  /** @returns the version of a row, 0 if there is none */
+  versionOf (table: string, key: string): number {
+    return this.rows.get(`${table}/${key}`)?.row_version ?? 0
+  }
+
   /** Discards the history of changes; feed calls that start before this point are answered with status 410. */
   compact (): void {
     this.history = []
--- a/test/adapter.test.ts
+++ b/test/adapter.test.ts
@@ -7,6 +7,7 @@
 import { MonotonicClock } from '../src/base/index.js'
 import { Follower, Replica, type Row } from '../src/store/index.js'
 import { RowsStandin, StoreFault } from '../standins/rows.js'
+import { storeObserver } from './storeobserver.js'
 
 /**
  * Limit within which the removal of a server's row must be noticed, in milliseconds. Users require that a draining
@@ -43,7 +44,7 @@
       rowsByKey.set(row.key, row)
       return previous?.value?.toString() !== row.value?.toString()
     })
-    const observer = { storeRecovered: () => { recoveryCount++ }, storeClockRead: () => undefined }
+    const observer = storeObserver({ storeRecovered: () => { recoveryCount++ } })
     follower = new Follower(store, replica, observer, new MonotonicClock(), log)
     // The outages below must hit a long poll that the store holds open, not a call that is still in transit.
     await waitFor(() => rowsByKey.has('a') && standin.pendingFeedCount === 1)
@@ -67,9 +68,8 @@
   it('reads the tables soon after the store recovers if the first calls were not answered', async () => {
     standin.fault = StoreFault.silent
     const newRows: Row[] = []
-    const lateFollower = new Follower(store, new Replica('servers', row => newRows.push(row) > 0), {
-      storeRecovered: () => undefined, storeClockRead: () => undefined
-    }, new MonotonicClock(), log)
+    const replica = new Replica('servers', row => newRows.push(row) > 0)
+    const lateFollower = new Follower(store, replica, storeObserver(), new MonotonicClock(), log)
     await new Promise(resolve => setTimeout(resolve, 300))
     standin.fault = undefined
     const recoveredAt = performance.now()
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -22,6 +22,32 @@
     expect(fleet.findUsable('a', 4)).toEqual(healthyServer)
   })
 
+  // Guards against requests to servers that leave: the store returned from a copy that lists them as ready.
+  it('gives no requests to a server that was draining or gone before the store returned from a copy', () => {
+    const fleet = new Fleet()
+    for (const id of ['draining', 'gone', 'ready']) fleet.apply({ id, revision: 1, server: server(id) }, 0)
+    fleet.apply({ id: 'draining', revision: 2, server: server('draining', { isDraining: true }) }, 0)
+    fleet.apply({ id: 'gone', revision: 3, server: undefined }, 0)
+    fleet.startEra(10)
+    for (const id of ['draining', 'gone', 'ready']) fleet.apply({ id, revision: 11, server: server(id) }, 10)
+    expect(fleet.listUsable(4_000).map(({ id }) => id)).toEqual(['ready'])
+    fleet.apply({ id: 'draining', revision: 12, server: server('draining') }, 4_000)
+    expect(fleet.listUsable(4_000).map(({ id }) => id)).toEqual(['ready'])
+    fleet.apply({ id: 'gone', revision: 13, server: server('gone', { born: 2 }) }, 4_000)
+    expect(fleet.listUsable(4_000).map(({ id }) => id)).toEqual(['gone', 'ready'])
+    expect(fleet.listUsable(6_000).length).toEqual(3)
+  })
+
+  // Guards against a service without servers: entries that were written in the lost seconds are missing for a moment.
+  it('keeps servers for two seconds that are missing when the store has returned from a copy', () => {
+    const fleet = new Fleet()
+    fleet.apply({ id: 'a', revision: 5, server: server('a') }, 0)
+    fleet.startEra(10)
+    fleet.apply({ id: 'a', revision: 11, server: undefined }, 10)
+    expect(fleet.listUsable(1_000).length).toEqual(1)
+    expect(fleet.listUsable(2_100).length).toEqual(0)
+  })
+
   it('ignores revisions older than the latest known one', () => {
     const fleet = new Fleet()
     fleet.apply({ id: 'a', revision: 5, server: server('a', { isDraining: true }) }, 0)
--- a/test/migrationcontroller.test.ts
+++ b/test/migrationcontroller.test.ts
@@ -6,7 +6,7 @@
 import { MigrationController } from '../src/gateway/migrationcontroller.js'
 import { MigrationStage } from '../src/migration/index.js'
 import type { Scheduler } from '../src/schedule/index.js'
-import type { Row } from '../src/store/index.js'
+import { revisionOf, type Row } from '../src/store/index.js'
 import { RowsStandin, StoreFault } from '../standins/rows.js'
 import { createScheduler, job, server } from './jobs.js'
 
@@ -122,6 +122,36 @@
     expect(reportedState()).toEqual('rolled_back')
   })
 
+  // Guards against a migration that is decided twice, and an operator who never learns its end: the store returned from
+  // a copy that holds the order and an earlier report.
+  it('are reported again, with the same end, if the store has lost the report', async () => {
+    const copy = standin.takeCopy()
+    controller.applyOrder(row('op', ORDER, revisionOf(1, 1)), 0)
+    for (let now = 100; now < 1_000; now += 100) runRequests('failed', now)
+    controller.tick(true, 1_000)
+    await waitFor(() => reportedState() === 'rolled_back')
+    standin.restore(copy)
+    standin.put('status', KEY, { state: 'running', to: 'v2' })
+    const storedVersion = standin.versionOf('status', KEY)
+    await store.list('status', 1_000)
+    controller.applyOrder(row('op', ORDER, revisionOf(2, 1)), 1_100)
+    controller.applyReport(row('status', { state: 'running', to: 'v2' }, revisionOf(2, storedVersion)))
+    expect(scheduler.migrations.getLatest('s', 1_100)!.stage).toEqual(MigrationStage.rolledBack)
+    await waitFor(() => {
+      controller.tick(true, 2_000)
+      return reportedState() === 'rolled_back'
+    })
+    controller.tick(true, 20_000)
+    expect(reportedState()).toEqual('rolled_back')
+  })
+
+  it('start anew if the same order is written again within an era', () => {
+    controller.applyOrder(row('op', ORDER, revisionOf(1, 1)), 0)
+    controller.applyReport(row('status', { state: 'rolled_back', to: 'v2' }, revisionOf(1, 2)))
+    controller.applyOrder(row('op', ORDER, revisionOf(1, 3)), 100)
+    expect(scheduler.migrations.getLatest('s', 100)!.stage).toEqual(MigrationStage.running)
+  })
+
   it('are due at the reported time on a host that started after the order', () => {
     controller.setStoreClock(1_000_000, 50_000)
     controller.applyOrder(row('op', ORDER, 1), 50_000)
--- a/test/unansweredpoll.test.ts
+++ b/test/unansweredpoll.test.ts
@@ -10,6 +10,7 @@
 import { Follower, Replica, type Row } from '../src/store/index.js'
 import { RowsStandin, StoreFault } from '../standins/rows.js'
 import { type HostProcess, isReady, killHostProcess, startHostProcess, waitFor } from './hostprocess.js'
+import { storeObserver } from './storeobserver.js'
 
 /** The users' `contact_ms`: this long after an outage, hosts are bound by all rules, in milliseconds. */
 const CONTACT_MS = 3_000
@@ -42,8 +43,7 @@
     store = new RowStore(standin.address)
     standin.put('op', 'config', { version: 1 })
     const replica = new Replica('op', row => rowsByKey.set(row.key, row).has(row.key))
-    const observer = { storeRecovered: () => undefined, storeClockRead: () => undefined }
-    follower = new Follower(store, replica, observer, new MonotonicClock(), log)
+    follower = new Follower(store, replica, storeObserver(), new MonotonicClock(), log)
     await waitFor(() => rowsByKey.has('config') && standin.pendingFeedCount === 1)
   })
 
