Give no more requests to a server that says that it leaves

A server that says in its responses that it leaves got requests until its entry in the store said so (DRAIN): 50 in the 2 s after drain_ms in the test.

Cause: nothing read the header. Change: what a server says of itself is decoded from each response in one place (serverstatement, which replaces requestlimit). The host that gets it sends no more to that incarnation at once, whatever its entry says; it tells the scheduler, and each one selected later, so that no host is granted it.

New cases in fleet.test.ts and dispatch.test.ts.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -4,7 +4,7 @@
 import type { SchedulerConnection } from './connection.js'
 import type { Reply } from './dispatch_pb.js'
 import type { JobState, Placement, JobHandle } from './jobhandle.js'
-import { createAsk, encodeJob, encodeRequestLimit } from './messages.js'
+import { createAsk, encodeJob, encodeLeaving, encodeRequestLimit } from './messages.js'
 import { type LimitObserver, StatedLimits } from './statedlimits.js'
 
 /**
@@ -67,7 +67,12 @@
       onPlacement({ kind: 'refused', reason: Refusal.retryBudget, retryAfterMs: 0 })
       const ignore = (): void => undefined
       return {
-        reportStarted: ignore, reportSilent: ignore, reportRequestLimit: ignore, reportEnded: ignore, withdraw: ignore
+        reportStarted: ignore,
+        reportSilent: ignore,
+        reportRequestLimit: ignore,
+        reportLeaving: ignore,
+        reportEnded: ignore,
+        withdraw: ignore
       }
     }
     this.jobs.set(state.number, state)
@@ -76,6 +81,7 @@
       reportStarted: () => this.reportStarted(state),
       reportSilent: () => this.reportSilent(state),
       reportRequestLimit: (server, requestsPerS) => this.reportRequestLimit(state, server, requestsPerS),
+      reportLeaving: server => this.reportLeaving(server),
       reportEnded: (outcome, stepMs) => this.reportEnded(state, outcome, stepMs),
       withdraw: () => this.withdraw(state)
     }
@@ -97,6 +103,7 @@
     for (const { server, requestsPerS } of this.statedLimits.list()) {
       scheduler.send(createAsk(0, encodeRequestLimit(server, requestsPerS)))
     }
+    for (const server of this.statedLimits.listLeaving()) scheduler.send(createAsk(0, encodeLeaving(server)))
     for (const state of this.jobs.values()) {
       const { number, job, server, hasStarted } = state
       if (server === undefined) continue
@@ -176,6 +183,11 @@
     this.scheduler?.send(createAsk(state.number, encodeRequestLimit(server, requestsPerS)))
   }
 
+  private reportLeaving (server: BackendServer): void {
+    this.statedLimits.recordLeaving(server, this.clock.now())
+    this.scheduler?.send(createAsk(0, encodeLeaving(server)))
+  }
+
   private reportEnded (state: JobState, outcome: Outcome, stepMs = 0): void {
     if (!this.jobs.delete(state.number) || state.server === undefined) return
     this.scheduler?.send(createAsk(state.number, { case: 'ended', value: { server: state.server, outcome, stepMs } }))
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -25,12 +25,14 @@
    * @param gossip - exchanges missing rows with the connected hosts
    * @param clock - monotonic time
    * @param onHostsChanged - called after a host was connected, before its first message is handled, or disconnected
+   * @param onServerLeaving - called with id and start time of a server that told a host that it leaves
    */
   constructor (
     readonly scheduler: Scheduler,
     private readonly gossip: Gossip,
     private readonly clock: Clock,
-    private readonly onHostsChanged: () => void = () => undefined
+    private readonly onHostsChanged: () => void = () => undefined,
+    private readonly onServerLeaving: (id: string, born: number) => void = () => undefined
   ) {}
 
   /**
@@ -128,6 +130,9 @@
       case 'requestLimit':
         this.recordRequestLimit(id, body.value, now)
         break
+      case 'leaving':
+        this.onServerLeaving(body.value.server, body.value.born)
+        break
       case 'withdraw':
         this.scheduler.withdraw(id, body.value.service, now)
         break
--- a/src/dispatch/jobhandle.ts
+++ b/src/dispatch/jobhandle.ts
@@ -22,6 +22,13 @@
    */
   reportRequestLimit (server: BackendServer, requestsPerS: number | undefined): void
 
+  /**
+   * Reports that the server says that it leaves.
+   *
+   * @param server - the server
+   */
+  reportLeaving (server: BackendServer): void
+
   /**
    * Reports that the job no longer occupies its slot.
    *
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -73,6 +73,14 @@
   return { case: 'requestLimit', value: { server: id, born, requestsPerS } }
 }
 
+/**
+ * @param server - a backend server that leaves
+ * @returns the body of a message to a scheduler
+ */
+export function encodeLeaving ({ id, born }: BackendServer): AskBody {
+  return { case: 'leaving', value: { server: id, born } }
+}
+
 /**
  * Decodes a job of another host.
  *
--- a/src/dispatch/statedlimits.ts
+++ b/src/dispatch/statedlimits.ts
@@ -23,9 +23,10 @@
  */
 export type LimitObserver = (server: string, requestsPerS: number | undefined) => void
 
-/** The limits of requests that servers stated in their responses to this host. */
+/** The limits of requests that servers stated in their responses to this host, and the servers that leave. */
 export class StatedLimits {
   private readonly limits = new Map<string, StatedLimit>()
+  private readonly leaving = new Map<string, Omit<StatedLimit, 'requestsPerS'>>()
 
   /** @param onChange - called with each change */
   constructor (private readonly onChange: LimitObserver) {}
@@ -48,6 +49,22 @@
     this.evictOld(now)
   }
 
+  /**
+   * Records that a server leaves.
+   *
+   * @param server - the server
+   * @param now - monotonic time, in milliseconds
+   */
+  recordLeaving (server: BackendServer, now: number): void {
+    this.leaving.set(server.id, { server, statedAt: now })
+    for (const [id, { statedAt }] of this.leaving) if (now - statedAt > RETENTION_MS) this.leaving.delete(id)
+  }
+
+  /** @returns the servers that leave */
+  listLeaving (): BackendServer[] {
+    return [...this.leaving.values()].map(({ server }) => server)
+  }
+
   /** @returns all limits that are stated */
   list (): StatedLimit[] {
     return [...this.limits.values()]
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -1,4 +1,5 @@
 import { type BackendServer, hasSameState, isSameIncarnation } from './server.js'
+import { Statements } from './statements.js'
 
 /** One change in the list of servers: an entry was written or removed. */
 export interface FleetChange {
@@ -37,6 +38,8 @@
 
 /** The known backend servers, each as described by its newest entry. */
 export class Fleet {
+  /** What servers say of themselves in their responses to this host. */
+  readonly statements = new Statements()
   private readonly entries = new Map<string, Entry>()
   /** Until this monotonic time, the removal of an entry may be an effect of a store outage. */
   private graceUntil = 0
@@ -98,30 +101,49 @@
 
   private evictRemoved (now: number): void {
     for (const [id, { removedAt }] of this.entries) {
-      if (removedAt !== undefined && now - removedAt > REMOVED_RETENTION_MS) this.entries.delete(id)
+      if (removedAt === undefined || now - removedAt <= REMOVED_RETENTION_MS) continue
+      this.entries.delete(id)
+      this.statements.forget(id)
     }
   }
 
   /**
-   * Finds a server that may get new requests.
+   * Finds a server that may get new requests of this host.
    *
    * @param id - id of the server
    * @param now - monotonic time, in milliseconds
-   * @returns the server, or undefined if it is unknown, draining or removed
+   * @returns the server, or undefined if it is unknown, leaves or was removed
    */
   findUsable (id: string, now: number): BackendServer | undefined {
+    return this.findListed(id, now)
+  }
+
+  /**
+   * Records that another host was told by a server that it leaves.
+   *
+   * @param id - id of the server
+   * @param born - start time of the server
+   * @returns whether this host did not know
+   */
+  recordLeaving (id: string, born: number): boolean {
+    const server = this.entries.get(id)?.server
+    return server?.born === born && this.statements.recordLeaving(server)
+  }
+
+  private findListed (id: string, now: number): BackendServer | undefined {
     const entry = this.entries.get(id)
     const server = entry?.server
     if (entry === undefined || server === undefined || server.isDraining || now < entry.heldUntil) return undefined
+    if (this.statements.isLeaving(server)) return undefined
     return entry.removedAt !== undefined && now >= this.graceUntil ? undefined : server
   }
 
   /**
    * @param now - monotonic time, in milliseconds
-   * @returns all servers that may get new requests
+   * @returns all servers that may get new requests of some host
    */
   listUsable (now: number): BackendServer[] {
-    return [...this.entries.keys()].map(id => this.findUsable(id, now)).filter(server => server !== undefined)
+    return [...this.entries.keys()].map(id => this.findListed(id, now)).filter(server => server !== undefined)
   }
 
   /**
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -9,6 +9,7 @@
 import { Delivery } from './delivery.js'
 import { EventSequencer } from './eventsequencer.js'
 import { FailedResponse } from './failedresponse.js'
+import { recordStatement } from './recordstatement.js'
 import { Slots } from './slots.js'
 import { Status } from './status.js'
 
@@ -143,7 +144,7 @@
     this.log('sent', { server: server.id, send: this.sendCount + 1 })
     this.delivery = new Delivery(this.context, this.request, server, this.sequencer, this.response, {
       onSent: () => { this.sendCount++ },
-      onRequestLimit: requestsPerS => job.reportRequestLimit(server, requestsPerS),
+      onStatement: statement => recordStatement(this.context, job, server, statement),
       onStarted: () => job.reportStarted(),
       onEnded: (delivery, outcome, result) => this.handleDeliveryEnd(delivery, outcome, result)
     })
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -13,9 +13,9 @@
 import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders, statedBodyLength } from './headers.js'
 import { buildOutgoingHeaders } from './outgoingheaders.js'
 import { ReceiveLimit } from './receivelimit.js'
-import { readRequestLimit } from './requestlimit.js'
 import { classifyResponse } from './responseoutcome.js'
 import { ResponseTimes } from './responsetimes.js'
+import { readServerStatement } from './serverstatement.js'
 import { Status } from './status.js'
 
 /** A server is silent if it sends nothing for this time or twice the latency objective, if longer; in milliseconds. */
@@ -129,7 +129,7 @@
     }
     // The server at this address is another one.
     if (status !== Status.misdirected) {
-      this.listener.onRequestLimit(readRequestLimit(headers, this.context.headerNames))
+      this.listener.onStatement(readServerStatement(headers, this.context.headerNames))
     }
     this.status = status
     this.headers = endToEndHeaders(headers, REWRITTEN_HEADERS)
--- a/src/forward/deliverylistener.ts
+++ b/src/forward/deliverylistener.ts
@@ -1,6 +1,7 @@
 import type { Outcome } from '../schedule/index.js'
 import type { BufferedResponse } from './bufferedresponse.js'
 import type { Delivery } from './delivery.js'
+import type { ServerStatement } from './serverstatement.js'
 
 /** Receives the progress of a delivery. */
 export interface DeliveryListener {
@@ -10,9 +11,9 @@
   /**
    * Called when the status and headers of the server's own response arrive.
    *
-   * @param requestsPerS - the limit of requests that the server states; undefined if it states none
+   * @param statement - what the server says of itself
    */
-  onRequestLimit (requestsPerS: number | undefined): void
+  onStatement (statement: ServerStatement): void
 
   /** Called when the first event arrives, or the headers of a response that is not streamed. */
   onStarted (): void
--- /dev/null
+++ b/src/forward/serverstatement.ts
@@ -0,0 +1,30 @@
+import type { HeaderNames } from './headernames.js'
+import { findHeader, type RawHeaders } from './headers.js'
+
+/** A decimal number with as many places as a double may be written with. */
+const DECIMAL = /^(\d{1,9}(\.\d{0,20})?|\.\d{1,20})$/
+
+/** What a server says of itself in a response. */
+export interface ServerStatement {
+  /** Requests per second that it accepts from all hosts together; undefined if it states no valid limit. */
+  readonly requestsPerS: number | undefined
+  /** Whether it leaves. */
+  readonly isLeaving: boolean
+}
+
+/**
+ * @param headers - the headers of a server's response
+ * @param names - names of the headers that the scheduler reads
+ * @returns what the server says of itself
+ */
+export function readServerStatement (headers: RawHeaders, names: HeaderNames): ServerStatement {
+  return {
+    requestsPerS: readDecimal(headers, names.requestLimit),
+    isLeaving: findHeader(headers, names.leaving)?.trim() === '1'
+  }
+}
+
+function readDecimal (headers: RawHeaders, name: string): number | undefined {
+  const value = findHeader(headers, name)?.trim()
+  return value !== undefined && DECIMAL.test(value) ? Number(value) : undefined
+}
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -127,6 +127,19 @@
     }
   }
 
+  /**
+   * Records that a host was told by a server that it leaves.
+   *
+   * @param id - id of the server
+   * @param born - start time of the server
+   */
+  recordLeaving (id: string, born: number): void {
+    if (this.fleet.recordLeaving(id, born)) {
+      this.log.info({ event: 'server-leaving', server: id, source: 'host' }, 'server-leaving')
+    }
+    this.observer.serversChanged()
+  }
+
   /** Starts to follow the store, and adds this host to the members. */
   start (): void {
     this.isFollowing = true
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -79,7 +79,8 @@
     const scheduler = new Scheduler(settings.limits, settings.isFirstStart, new CrashLog(log))
     this.connectionPool = new ConnectionPool(log)
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
-    this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare())
+    this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare(),
+      (id, born) => this.directory.recordLeaving(id, born))
     this.dispatcher = new Dispatcher(clock, settings.limits.retries,
       (server, requestsPerS) => log.info({ event: 'server-limit', server, requestsPerS }, 'server-limit'))
     this.retrySlack = new RetrySlack(settings.limits.retries.windowMs, clock.now())
--- a/test/dispatch.test.ts
+++ b/test/dispatch.test.ts
@@ -36,6 +36,17 @@
     await waitFor(() => submissions.every(({ placements }) => placements.length === 1))
   })
 
+  // Guards against requests of other hosts to a server that told only one of them that it leaves.
+  it('report to each scheduler that they select which servers leave', async () => {
+    const [first, second, third] = await start(3)
+    const runningJob = submit(third!)
+    await waitFor(() => runningJob.placements.length === 1)
+    runningJob.handle.reportLeaving(server('a'))
+    await waitFor(() => first!.leavingServers.includes('a'))
+    first!.close()
+    await waitFor(() => second!.leavingServers.includes('a'))
+  })
+
   // Guards against missed changes: a host waited long for each answer of the store, and so did its scheduler.
   it('rely on the scheduler to check the store only while the store responds to it', async () => {
     const [first, second] = await start(2)
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -48,6 +48,18 @@
     expect(fleet.listUsable(2_100).length).toEqual(0)
   })
 
+  // Guards against requests to a server that leaves: it says so in its responses, and its entry still says ready.
+  it('gives no requests to an incarnation that says that it leaves, whatever its entry says', () => {
+    const fleet = new Fleet()
+    fleet.apply({ id: 'a', revision: 1, server: server('a') }, 0)
+    expect(fleet.recordLeaving('a', 7)).toEqual(false)
+    expect(fleet.recordLeaving('a', 1)).toEqual(true)
+    fleet.apply({ id: 'a', revision: 2, server: server('a') }, 1)
+    expect([fleet.findUsable('a', 1), ...fleet.listUsable(1)]).toEqual([undefined])
+    fleet.apply({ id: 'a', revision: 3, server: server('a', { born: 2 }) }, 2)
+    expect(fleet.listUsable(2).length).toEqual(1)
+  })
+
   it('ignores revisions older than the latest known one', () => {
     const fleet = new Fleet()
     fleet.apply({ id: 'a', revision: 5, server: server('a', { isDraining: true }) }, 0)
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -19,6 +19,7 @@
   serverId: 'x-server',
   notRun: 'x-not-run',
   requestLimit: 'x-request-limit',
+  leaving: 'x-leaving',
   lastEventId: 'x-last-event',
   tokenUsage: 'x-usage',
   promptParts: 'x-parts',
--- a/test/serverlimit.test.ts
+++ b/test/serverlimit.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl'
 import { Ranking } from '../src/base/index.js'
 import type { Member } from '../src/dispatch/index.js'
-import { readRequestLimit } from '../src/forward/requestlimit.js'
+import { readServerStatement } from '../src/forward/serverstatement.js'
 import { Outcome } from '../src/schedule/index.js'
 import { RequestLimit } from '../src/schedule/requestlimit.js'
 import { server } from './jobs.js'
@@ -127,12 +127,13 @@
   })
 })
 
-describe('readRequestLimit', () => {
-  it('reads decimal numbers and nothing else', () => {
-    const read = (value: string): number | undefined => readRequestLimit(['X-Request-Limit', value], HEADER_NAMES)
+describe('the limit that a response states', () => {
+  it('is read from decimal numbers and nothing else', () => {
+    const read = (value: string): number | undefined =>
+      readServerStatement(['X-Request-Limit', value], HEADER_NAMES).requestsPerS
     expect(['3.3', '0', ' 12 ', '.5', '2.'].map(read)).toEqual([3.3, 0, 12, 0.5, 2])
     expect(read('2.8333333333333335')).toEqual(17 / 6)
     expect(['-1', '1e3', 'NaN', '', '.', '1,5', '0x10', '9'.repeat(30)].every(value => read(value) === undefined)).toEqual(true)
-    expect(readRequestLimit([], HEADER_NAMES)).toEqual(undefined)
+    expect(readServerStatement([], HEADER_NAMES).requestsPerS).toEqual(undefined)
   })
 })
--- a/test/serverstatements.test.ts
+++ b/test/serverstatements.test.ts
@@ -6,7 +6,8 @@
 import { request } from 'undici'
 import { RowsStandin } from '../standins/rows.js'
 import { type HostProcess, isReady, killHostProcess, startHostProcess, waitFor } from './hostprocess.js'
-import { respond, type Script, ScriptedServer } from './rig.js'
+import { readServerStatement } from '../src/forward/serverstatement.js'
+import { HEADER_NAMES, respond, type Script, ScriptedServer } from './rig.js'
 
 /** The users' `drain_ms`, in milliseconds. */
 const DRAIN_MS = 2_000
@@ -62,10 +63,12 @@
       directory, index: 0, firstPort: FIRST_PORT, storeAddress: store.address, budgetSlack: 50, isFirstStart: true
     })
     await waitFor(() => isReady(host))
+    const calls: Array<Promise<void>> = []
     for (let i = 0; i < durationMs / REQUEST_INTERVAL_MS; i++) {
-      void call(`a${i}`)
+      calls.push(call(`a${i}`))
       await sleep(REQUEST_INTERVAL_MS)
     }
+    await Promise.all(calls)
   }
 
   async function call (attemptId: string): Promise<void> {
@@ -101,3 +104,10 @@
     expect(during.length <= REQUESTS_DURING_PAUSE).toEqual(true)
   })
 })
+
+describe('readServerStatement', () => {
+  it('reads that a server leaves', () => {
+    expect(readServerStatement(['X-Leaving', '1'], HEADER_NAMES).isLeaving).toEqual(true)
+    expect(readServerStatement(['X-Leaving', '0'], HEADER_NAMES).isLeaving).toEqual(false)
+  })
+})
--- a/test/testhost.ts
+++ b/test/testhost.ts
@@ -25,7 +25,9 @@
   readonly gossip = new Gossip([this.replica], clock, tables => { this.laggingTables.push(...tables) },
     () => this.storeAgeMs)
 
-  readonly hub = new Hub(this.scheduler, this.gossip, clock)
+  /** Ids of the servers of which hosts reported that they leave. */
+  readonly leavingServers: string[] = []
+  readonly hub = new Hub(this.scheduler, this.gossip, clock, () => undefined, id => { this.leavingServers.push(id) })
   readonly dispatcher = new Dispatcher(clock, WIDE_LIMITS.retries)
   readonly selector: SchedulerSelector
   address = ''
