Send nothing to a server during the pause that it asks for

Cause: the header of a 503 was not read. If all servers of a service ask a host for a pause, callers are refused at once with the time that is left. Malformed values are ignored.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -112,10 +112,30 @@
    *
    * @param id - id of the server
    * @param now - monotonic time, in milliseconds
-   * @returns the server, or undefined if it is unknown, leaves or was removed
+   * @returns the server, or undefined if it is unknown, leaves, was removed or asked this host for a pause
    */
   findUsable (id: string, now: number): BackendServer | undefined {
-    return this.findListed(id, now)
+    const server = this.findListed(id, now)
+    return server === undefined || this.statements.pauseLeftMs(server, now) > 0 ? undefined : server
+  }
+
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns ids of the servers that asked this host for a pause
+   */
+  listPaused (now: number): string[] {
+    return this.listUsable(now).filter(server => this.statements.pauseLeftMs(server, now) > 0).map(({ id }) => id)
+  }
+
+  /**
+   * @param service - name of a service
+   * @param now - monotonic time, in milliseconds
+   * @returns time until the first of its servers accepts requests of this host, in milliseconds; 0 if one does now, or
+   *   if there is none
+   */
+  pauseLeftMs (service: string, now: number): number {
+    const servers = this.listUsable(now).filter(server => server.service === service)
+    return servers.length === 0 ? 0 : Math.min(...servers.map(server => this.statements.pauseLeftMs(server, now)))
   }
 
   /**
--- a/src/fleet/statements.ts
+++ b/src/fleet/statements.ts
@@ -1,8 +1,12 @@
 import { type BackendServer, isSameIncarnation } from './server.js'
 
+/** Longest pause that is kept, in milliseconds; a server that asks for more is tried again then. */
+const MAX_PAUSE_MS = 600_000
+
 /** What backend servers say of themselves in their responses to this host, sooner than in their entries. */
 export class Statements {
   private readonly leaving = new Map<string, BackendServer>()
+  private readonly pauses = new Map<string, { readonly server: BackendServer, readonly until: number }>()
 
   /**
    * Records that a server leaves, which holds until it starts again.
@@ -16,6 +20,20 @@
     return !isKnown
   }
 
+  /**
+   * Records that a server asks this host for a pause.
+   *
+   * @param server - the server
+   * @param pauseMs - length of the pause, in milliseconds
+   * @param now - monotonic time, in milliseconds
+   * @returns whether no earlier pause lasts
+   */
+  recordPause (server: BackendServer, pauseMs: number, now: number): boolean {
+    const isNew = this.pauseLeftMs(server, now) === 0
+    this.pauses.set(server.id, { server, until: now + Math.min(pauseMs, MAX_PAUSE_MS) })
+    return isNew
+  }
+
   /**
    * @param server - a server
    * @returns whether this incarnation of it leaves
@@ -25,8 +43,19 @@
     return known !== undefined && isSameIncarnation(known, server)
   }
 
+  /**
+   * @param server - a server
+   * @param now - monotonic time, in milliseconds
+   * @returns how long the pause lasts for which this incarnation of it has asked, in milliseconds; 0 if there is none
+   */
+  pauseLeftMs (server: BackendServer, now: number): number {
+    const pause = this.pauses.get(server.id)
+    return pause !== undefined && isSameIncarnation(pause.server, server) ? Math.max(0, pause.until - now) : 0
+  }
+
   /** @param id - id of a server that is no longer listed */
   forget (id: string): void {
     this.leaving.delete(id)
+    this.pauses.delete(id)
   }
 }
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -129,7 +129,7 @@
     }
     // The server at this address is another one.
     if (status !== Status.misdirected) {
-      this.listener.onStatement(readServerStatement(headers, this.context.headerNames))
+      this.listener.onStatement(readServerStatement(status, headers, this.context.headerNames))
     }
     this.status = status
     this.headers = endToEndHeaders(headers, REWRITTEN_HEADERS)
--- a/src/forward/recordstatement.ts
+++ b/src/forward/recordstatement.ts
@@ -14,10 +14,12 @@
 export function recordStatement (
   context: ForwardContext, job: JobHandle, server: BackendServer, statement: ServerStatement
 ): void {
-  const { requestsPerS, isLeaving } = statement
+  const { requestsPerS, isLeaving, pauseMs } = statement
   job.reportRequestLimit(server, requestsPerS)
   if (isLeaving && context.fleet.statements.recordLeaving(server)) {
     context.log.info({ event: 'server-leaving', server: server.id, source: 'response' }, 'server-leaving')
     job.reportLeaving(server)
   }
+  if (pauseMs === undefined || !context.fleet.statements.recordPause(server, pauseMs, context.clock.now())) return
+  context.log.info({ event: 'server-paused', server: server.id, pauseMs }, 'server-paused')
 }
--- a/src/forward/serverstatement.ts
+++ b/src/forward/serverstatement.ts
@@ -1,5 +1,7 @@
+import { SECOND_MS } from '../base/index.js'
 import type { HeaderNames } from './headernames.js'
 import { findHeader, type RawHeaders } from './headers.js'
+import { Status } from './status.js'
 
 /** A decimal number with as many places as a double may be written with. */
 const DECIMAL = /^(\d{1,9}(\.\d{0,20})?|\.\d{1,20})$/
@@ -10,17 +12,22 @@
   readonly requestsPerS: number | undefined
   /** Whether it leaves. */
   readonly isLeaving: boolean
+  /** How long it wants no requests from this host, in milliseconds; undefined if it asks for no valid pause. */
+  readonly pauseMs: number | undefined
 }
 
 /**
- * @param headers - the headers of a server's response
+ * @param status - the status of a server's response
+ * @param headers - its headers
  * @param names - names of the headers that the scheduler reads
  * @returns what the server says of itself
  */
-export function readServerStatement (headers: RawHeaders, names: HeaderNames): ServerStatement {
+export function readServerStatement (status: number, headers: RawHeaders, names: HeaderNames): ServerStatement {
+  const pauseS = status === Status.unavailable ? readDecimal(headers, 'retry-after') : undefined
   return {
     requestsPerS: readDecimal(headers, names.requestLimit),
-    isLeaving: findHeader(headers, names.leaving)?.trim() === '1'
+    isLeaving: findHeader(headers, names.leaving)?.trim() === '1',
+    pauseMs: pauseS === undefined ? undefined : pauseS * SECOND_MS
   }
 }
 
--- a/src/forward/slots.ts
+++ b/src/forward/slots.ts
@@ -1,5 +1,5 @@
 import type { JobHandle, Placement } from '../dispatch/index.js'
-import { Outcome } from '../schedule/index.js'
+import { Outcome, Refusal } from '../schedule/index.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { ForwardContext } from './context.js'
 import { buildJob } from './slotrequest.js'
@@ -63,11 +63,20 @@
   }
 
   /**
-   * Requests a slot, unless one was requested already because the previous server was silent.
+   * Requests a slot, unless one was requested already because the previous server was silent. The request is refused at
+   * once while all servers want none.
    *
    * @param isRetry - whether the request was sent to a server before
    */
   requestSlot (isRetry: boolean): void {
+    const retryAfterMs = this.context.fleet.pauseLeftMs(this.service, this.context.clock.now())
+    if (retryAfterMs > 0 && this.alternative === undefined) {
+      this.current = undefined
+      queueMicrotask(() => {
+        if (!this.isClosed) this.listener.onPlacement({ kind: 'refused', reason: Refusal.paused, retryAfterMs })
+      })
+      return
+    }
     this.current = this.alternative ?? this.submit(isRetry, [...this.excludedServers])
     this.alternative = undefined
   }
--- a/src/schedule/effect.ts
+++ b/src/schedule/effect.ts
@@ -6,6 +6,8 @@
   capacity: 'capacity',
   /** The service has no server that accepts requests. */
   noServer: 'no-server',
+  /** All servers of the service asked the host for a pause. */
+  paused: 'paused',
   /** The retry budget is used up. */
   retryBudget: 'budget',
   /** The request crashed several servers that ran it. */
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -60,6 +60,20 @@
     expect(fleet.listUsable(2).length).toEqual(1)
   })
 
+  // Guards against requests to a server that asks for a pause, and against one that is never asked again.
+  it('gives no requests of this host to a server during a pause that it asks for, ten minutes at most', () => {
+    const fleet = new Fleet()
+    fleet.apply({ id: 'a', revision: 1, server: server('a') }, 0)
+    expect(fleet.statements.recordPause(server('a'), 1_500, 0)).toEqual(true)
+    expect([fleet.findUsable('a', 1_400), fleet.pauseLeftMs('s', 1_400)]).toEqual([undefined, 100])
+    expect(fleet.listUsable(1_400).length).toEqual(1)
+    expect(fleet.findUsable('a', 1_500)?.id).toEqual('a')
+    fleet.statements.recordPause(server('a'), Number.MAX_SAFE_INTEGER, 2_000)
+    expect(fleet.pauseLeftMs('s', 2_000)).toEqual(600_000)
+    fleet.apply({ id: 'b', revision: 2, server: server('b') }, 0)
+    expect(fleet.pauseLeftMs('s', 2_000)).toEqual(0)
+  })
+
   it('ignores revisions older than the latest known one', () => {
     const fleet = new Fleet()
     fleet.apply({ id: 'a', revision: 5, server: server('a', { isDraining: true }) }, 0)
--- a/test/serverlimit.test.ts
+++ b/test/serverlimit.test.ts
@@ -130,10 +130,10 @@
 describe('the limit that a response states', () => {
   it('is read from decimal numbers and nothing else', () => {
     const read = (value: string): number | undefined =>
-      readServerStatement(['X-Request-Limit', value], HEADER_NAMES).requestsPerS
+      readServerStatement(200, ['X-Request-Limit', value], HEADER_NAMES).requestsPerS
     expect(['3.3', '0', ' 12 ', '.5', '2.'].map(read)).toEqual([3.3, 0, 12, 0.5, 2])
     expect(read('2.8333333333333335')).toEqual(17 / 6)
     expect(['-1', '1e3', 'NaN', '', '.', '1,5', '0x10', '9'.repeat(30)].every(value => read(value) === undefined)).toEqual(true)
-    expect(readServerStatement([], HEADER_NAMES).requestsPerS).toEqual(undefined)
+    expect(readServerStatement(200, [], HEADER_NAMES).requestsPerS).toEqual(undefined)
   })
 })
--- a/test/serverstatements.test.ts
+++ b/test/serverstatements.test.ts
@@ -7,7 +7,7 @@
 import { RowsStandin } from '../standins/rows.js'
 import { type HostProcess, isReady, killHostProcess, startHostProcess, waitFor } from './hostprocess.js'
 import { readServerStatement } from '../src/forward/serverstatement.js'
-import { HEADER_NAMES, respond, type Script, ScriptedServer } from './rig.js'
+import { deployment, HEADER_NAMES, respond, Rig, type Script, ScriptedServer } from './rig.js'
 
 /** The users' `drain_ms`, in milliseconds. */
 const DRAIN_MS = 2_000
@@ -105,9 +105,35 @@
   })
 })
 
+describe('a service whose servers all ask for a pause', () => {
+  // Guards against callers that wait in vain: all servers ask for a pause, and nothing can run before it ends.
+  it('refuses callers at once, and says when to come back', async () => {
+    const { rig: rigWithOne } = await Rig.start(deployment(), (_, __, socket) => {
+      respond(socket, '503 Busy', '', ['X-Not-Run: 1', 'Retry-After: 30'])
+    })
+    try {
+      await rigWithOne.request(['GET / HTTP/1.1', 'X-Deadline: 2000'])
+      const startedAt = performance.now()
+      const text = await rigWithOne.request(['GET / HTTP/1.1', 'X-Deadline: 2000'])
+      expect(performance.now() - startedAt).toBeLessThan(100)
+      expect(text).toMatchRegex(/^HTTP\/1.1 503 /)
+      expect(Number(/retry-after: ([\d.]+)/i.exec(text)?.[1])).toBeGreaterThan(25)
+    } finally {
+      await rigWithOne.close()
+    }
+  })
+})
+
 describe('readServerStatement', () => {
-  it('reads that a server leaves', () => {
-    expect(readServerStatement(['X-Leaving', '1'], HEADER_NAMES).isLeaving).toEqual(true)
-    expect(readServerStatement(['X-Leaving', '0'], HEADER_NAMES).isLeaving).toEqual(false)
+  it('reads a pause from a 503 only, and ignores malformed values', () => {
+    const read = (status: number, value: string): number | undefined =>
+      readServerStatement(status, ['Retry-After', value], HEADER_NAMES).pauseMs
+    expect([read(503, '2'), read(503, '0.25'), read(429, '2'), read(200, '2')]).toEqual([2_000, 250, undefined, undefined])
+    expect(['-1', 'soon', '', 'Fri, 04 Dec 2026 12:00:00 GMT'].filter(value => read(503, value) !== undefined)).toEqual([])
+  })
+
+  it('reads that a server leaves from any status', () => {
+    expect([200, 503].map(status => readServerStatement(status, ['X-Leaving', '1'], HEADER_NAMES).isLeaving)).toEqual([true, true])
+    expect(readServerStatement(200, ['X-Leaving', '0'], HEADER_NAMES).isLeaving).toEqual(false)
   })
 })
