Keep the longest pause that a server asks for

A shorter Retry-After of a later response ended a longer pause early. Found by reading the change again; a case in fleet.test.ts fails without the change.

--- a/src/fleet/statements.ts
+++ b/src/fleet/statements.ts
@@ -30,7 +30,8 @@
    */
   recordPause (server: BackendServer, pauseMs: number, now: number): boolean {
     const isNew = this.pauseLeftMs(server, now) === 0
-    this.pauses.set(server.id, { server, until: now + Math.min(pauseMs, MAX_PAUSE_MS) })
+    const until = now + Math.max(this.pauseLeftMs(server, now), Math.min(pauseMs, MAX_PAUSE_MS))
+    this.pauses.set(server.id, { server, until })
     return isNew
   }
 
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -69,6 +69,7 @@
     expect(fleet.listUsable(1_400).length).toEqual(1)
     expect(fleet.findUsable('a', 1_500)?.id).toEqual('a')
     fleet.statements.recordPause(server('a'), Number.MAX_SAFE_INTEGER, 2_000)
+    fleet.statements.recordPause(server('a'), 10, 2_000)
     expect(fleet.pauseLeftMs('s', 2_000)).toEqual(600_000)
     fleet.apply({ id: 'b', revision: 2, server: server('b') }, 0)
     expect(fleet.pauseLeftMs('s', 2_000)).toEqual(0)
