Look for paused servers only if there are any

Each request walked over all servers twice to find those that asked for a pause; with none, it walks over none now. Found by reading the change again; not measured.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -119,14 +119,6 @@
     return server === undefined || this.statements.pauseLeftMs(server, now) > 0 ? undefined : server
   }
 
-  /**
-   * @param now - monotonic time, in milliseconds
-   * @returns ids of the servers that asked this host for a pause
-   */
-  listPaused (now: number): string[] {
-    return this.listUsable(now).filter(server => this.statements.pauseLeftMs(server, now) > 0).map(({ id }) => id)
-  }
-
   /**
    * @param service - name of a service
    * @param now - monotonic time, in milliseconds
@@ -134,6 +126,7 @@
    *   if there is none
    */
   pauseLeftMs (service: string, now: number): number {
+    if (this.statements.listPaused(now).length === 0) return 0
     const servers = this.listUsable(now).filter(server => server.service === service)
     return servers.length === 0 ? 0 : Math.min(...servers.map(server => this.statements.pauseLeftMs(server, now)))
   }
--- a/src/fleet/statements.ts
+++ b/src/fleet/statements.ts
@@ -54,6 +54,15 @@
     return pause !== undefined && isSameIncarnation(pause.server, server) ? Math.max(0, pause.until - now) : 0
   }
 
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns ids of the servers that asked for a pause that lasts
+   */
+  listPaused (now: number): string[] {
+    for (const [id, { until }] of this.pauses) if (until <= now) this.pauses.delete(id)
+    return [...this.pauses.keys()]
+  }
+
   /** @param id - id of a server that is no longer listed */
   forget (id: string): void {
     this.leaving.delete(id)
--- a/src/forward/slotrequest.ts
+++ b/src/forward/slotrequest.ts
@@ -26,7 +26,7 @@
   const tokensPerEvent = context.deployment()?.services.get(slotRequest.service)?.tokensPerEvent ?? 1
   return {
     ...slotRequest,
-    excludedServers: [...slotRequest.excludedServers, ...context.fleet.listPaused(context.clock.now())],
+    excludedServers: [...slotRequest.excludedServers, ...context.fleet.statements.listPaused(context.clock.now())],
     route: route.name,
     fingerprint: request.fingerprint,
     sharedPromptParts: request.sharedPromptParts,
