--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import { MemberEvictor } from './memberevictor.js'
 import { CrashLog } from './crashlog.js'
 import { Directory } from './directory.js'
+import { drain } from './drain.js'
 import { computeIdleLimits } from './idlelimits.js'
 import { MigrationController } from './migrationcontroller.js'
 import type { Platform } from './platform.js'
@@ -23,18 +24,6 @@
 /** Interval at which the scheduler publishes its state, in milliseconds; it changes within seconds. */
 const PUBLISH_MS = 1_000
 
-/**
- * How long a stopping host still accepts connections, in milliseconds. The load balancer sends new ones until two
- * readiness checks, a second apart, have failed.
- */
-const ACCEPT_GRACE_MS = 2_500
-
-/** Time before the forced end of the process at which all connections are closed, in milliseconds. */
-const FORCED_END_MARGIN_MS = 700
-
-/** Interval at which a stopping host checks whether all requests are answered, in milliseconds. */
-const DRAIN_POLL_MS = 50
-
 /** A host process: forwards requests of callers to backend servers, and schedules requests if selected to. */
 export class Gateway {
   private readonly lifecycle = new Lifecycle()
@@ -46,7 +35,7 @@
   private readonly directory: Directory
   private readonly migrationController: MigrationController
   private isStopping = false
-  /** Whether connections of callers are accepted; stays true for {@link ACCEPT_GRACE_MS} after the stop has begun. */
+  /** Whether connections of callers are accepted; stays true for a while after the stop has begun. */
   private isAccepting = true
   private refreshedAt = 0
   private publishedAt = 0
@@ -152,18 +141,16 @@
   async stop (): Promise<void> {
     if (this.isStopping) return
     this.isStopping = true
-    const startedAt = this.clock.now()
     this.log.info({ event: 'stopping', requests: this.ingress.activeRequestCount }, 'stopping')
     void this.directory.membership.leave()
     this.membersChanged()
-    const endAt = startedAt + this.settings.graceMs - FORCED_END_MARGIN_MS
-    while (this.clock.now() < endAt) {
-      await this.clock.sleep(DRAIN_POLL_MS)
-      if (this.clock.now() - startedAt < ACCEPT_GRACE_MS) continue
-      if (this.isAccepting) this.ingress.stopAccepting()
-      this.isAccepting = false
-      if (this.ingress.activeRequestCount === 0) break
-    }
+    await drain({
+      activeRequestCount: () => this.ingress.activeRequestCount,
+      stopAccepting: () => {
+        this.ingress.stopAccepting()
+        this.isAccepting = false
+      }
+    }, this.settings.graceMs, this.clock)
     this.log.info({ event: 'stopped', requests: this.ingress.activeRequestCount }, 'stopped')
     await this.close()
   }
