--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -5,7 +5,6 @@
 import type { BufferOwner } from './bufferbudget.js'
 import type { CallerRequest } from './callerrequest.js'
 import type { CallerResponse } from './callerresponse.js'
-import type { ServerConnection } from './connection.js'
 import type { ForwardContext } from './context.js'
 import type { DeliveryListener } from './deliverylistener.js'
 import type { EventSequencer } from './eventsequencer.js'
@@ -30,7 +29,6 @@
   wasSent = false
   /** Why there is no complete response; empty if there is one. */
   failureReason = ''
-  private readonly connection: ServerConnection
   private readonly exchange: Exchange
   private readonly times: ResponseTimes
   private status = 0
@@ -62,11 +60,10 @@
     private readonly listener: DeliveryListener
   ) {
     this.times = new ResponseTimes(context.clock.now())
-    this.connection = context.connectionPool.acquire(server.address)
     const { method, target, body } = request
     const headers = buildOutgoingHeaders(context.headerNames, request, server, sequencer.lastEventId, this.times.sentAt)
     const outgoing = { method, target, headers, body: body.length > 0 ? body : null }
-    this.exchange = new Exchange(this.connection, outgoing, this)
+    this.exchange = new Exchange(context.connectionPool, server.address, outgoing, this)
   }
 
   /** Mean time between a stream's events, or duration of a request that is not streamed; in milliseconds, if known. */
@@ -160,7 +157,7 @@
       return
     }
     this.finish()
-    this.context.connectionPool.release(this.server.address, this.connection)
+    this.exchange.release()
     if (this.isStreaming) {
       this.startResponse()
       this.listener.onEnded(this, this.isCloseDelimited ? Outcome.ended : Outcome.done, undefined)
@@ -234,7 +231,6 @@
     this.finish()
     this.failureReason = reason
     this.exchange.abort()
-    this.connection.close()
     this.listener.onEnded(this, outcome, undefined)
   }
 }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher as UndiciDispatcher } from 'undici'
 import type { ServerConnection } from './connection.js'
+import type { ConnectionPool } from './connectionpool.js'
 import type { RawHeaders } from './headers.js'
 
 /** A request as it is sent to a server. */
@@ -52,21 +53,29 @@
 
 /** One request and its response over one connection. */
 export class Exchange implements UndiciDispatcher.DispatchHandler {
+  private readonly connection: ServerConnection
   private abortRequest: (() => void) | undefined
   private resumeReading: (() => void) | undefined
   private isDone = false
   private isConstructed = false
+  private isReleased = false
 
   /**
    * Sends a request.
    *
-   * @param connection - the connection to send it over
+   * @param pool - provides the connection
+   * @param address - the server's IP address and port
    * @param request - the request
    * @param handler - receives the response
    */
   constructor (
-    private readonly connection: ServerConnection, request: OutgoingRequest, private readonly handler: ResponseHandler
+    private readonly pool: ConnectionPool,
+    private readonly address: string,
+    request: OutgoingRequest,
+    private readonly handler: ResponseHandler
   ) {
+    const connection = pool.acquire(address)
+    this.connection = connection
     const bytesBefore = connection.parsedBytes
     connection.dispatch({
       method: request.method as UndiciDispatcher.HttpMethod,
@@ -77,14 +86,21 @@
     this.isConstructed = true
   }
 
-  /** Aborts the request and closes its connection; the handler is not called any more. */
+  /** Aborts the request and closes its connection, unless it was released; the handler is not called any more. */
   abort (): void {
-    if (this.isDone) return
+    if (this.isReleased) return
+    const wasDone = this.isDone
     this.isDone = true
-    this.abortRequest?.()
+    if (!wasDone) this.abortRequest?.()
     this.connection.close()
   }
 
+  /** Returns the connection to the pool, after a complete response. */
+  release (): void {
+    this.isReleased = true
+    this.pool.release(this.address, this.connection)
+  }
+
   /** Continues to read the body after `onBody` returned false. */
   resume (): void {
     this.resumeReading?.()
