Log whether this host can reach servers

A host now probes three servers when a connection fails, breaks, or none of them has sent anything for 400 ms though requests are unanswered, and logs servers-unreachable and servers-reachable. Nothing acts on it yet.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -78,6 +78,7 @@
    */
   tick (now: number): void {
     if (this.isFinished) return
+    this.delivery?.tick(now)
     if (now >= this.request.deadlineAt) {
       if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
       this.cancel()
@@ -233,9 +234,8 @@
   }
 
   private cancel (): void {
-    if (this.delivery === undefined) return
-    this.delivery.abort()
-    this.slots.job?.reportEnded(Outcome.cancelled)
+    this.delivery?.abort()
+    if (this.delivery !== undefined) this.slots.job?.reportEnded(Outcome.cancelled)
   }
 
   private finish (): void {
--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -23,8 +23,11 @@
   private socket: ServerSocket | undefined
   private onReading = (): void => undefined
 
-  /** @param address - the server's IP address and port */
-  constructor (address: string) {
+  /**
+   * @param address - the server's IP address and port
+   * @param onConnected - called when the connection is established
+   */
+  constructor (address: string, private readonly onConnected: () => void) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       headersTimeout: 0,
@@ -80,6 +83,7 @@
       socket.setTimeout(0)
       socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS)
       socket.off('error', handleError)
+      this.onConnected()
       this.socket = socket
       this.detectReset(socket)
       callback(null, socket)
--- a/src/forward/connectionpool.ts
+++ b/src/forward/connectionpool.ts
@@ -6,8 +6,11 @@
   private readonly idle = new Map<string, ServerConnection[]>()
   private idleLimits: ReadonlyMap<string, number> = new Map()
 
-  /** @param log - receives a record of each connection that a server does not leave idle */
-  constructor (private readonly log: Logger) {}
+  /**
+   * @param log - receives a record of each connection that a server does not leave idle
+   * @param onConnected - called when a connection is established
+   */
+  constructor (private readonly log: Logger, private readonly onConnected: () => void = () => undefined) {}
 
   /**
    * Returns the idle connection that was used last, so that unneeded connections reach their idle time-out,
@@ -22,7 +25,7 @@
       if (connection.isUsable) return connection
       connection.close()
     }
-    return new ServerConnection(address)
+    return new ServerConnection(address, this.onConnected)
   }
 
   /**
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -6,6 +6,7 @@
 import type { BufferBudget } from './bufferbudget.js'
 import type { ConnectionPool } from './connectionpool.js'
 import type { HeaderNames } from './headernames.js'
+import type { Reachability } from './reachability.js'
 
 /** Dependencies of the handling of callers' requests. */
 export interface ForwardContext {
@@ -15,6 +16,7 @@
   readonly dataCentre: string
   readonly fleet: Fleet
   readonly connectionPool: ConnectionPool
+  readonly reachability: Reachability
   readonly bufferBudget: BufferBudget
   readonly dispatcher: Dispatcher
   /** Clock of monotonic time. */
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -105,6 +105,15 @@
     return this.isWaitingForCaller ? 0 : now - this.times.lastReceivedAt
   }
 
+  /**
+   * Checks the network path while the server is silent.
+   *
+   * @param now - monotonic time, in milliseconds
+   */
+  tick (now: number): void {
+    this.context.reachability.checkIfQuiet(this.server.address, this.silenceMs(now))
+  }
+
   onSent (): void {
     this.wasSent = true
     this.listener.onSent()
@@ -112,6 +121,7 @@
 
   onReading (bytes: number): void {
     if (this.isFinished) return
+    this.context.reachability.recordReceived()
     const excess = this.receiveLimit.checkOverhead(bytes)
     if (excess !== undefined) this.abortAsBroken(excess)
   }
@@ -170,7 +180,9 @@
   }
 
   onFailure (error: Error): void {
-    if (!this.isFinished) this.fail(this.wasSent ? Outcome.broken : Outcome.unreachable, error.message)
+    if (this.isFinished) return
+    void this.context.reachability.verify(this.server.address)
+    this.fail(this.wasSent ? Outcome.broken : Outcome.unreachable, error.message)
   }
 
   onUnsendable (error: Error): void {
--- /dev/null
+++ b/src/forward/probe.ts
@@ -0,0 +1,26 @@
+import { Socket } from 'node:net'
+
+/** Longest time to establish the connection of a probe, in milliseconds; allows for several round trips. */
+const PROBE_TIMEOUT_MS = 250
+
+/**
+ * Checks whether a connection to a server can be established, and closes it.
+ *
+ * @param address - the server's IP address and port
+ * @returns whether the server accepted the connection in time
+ */
+export function probeConnection (address: string): Promise<boolean> {
+  const separator = address.lastIndexOf(':')
+  const socket = new Socket()
+  return new Promise(resolve => {
+    const finish = (isEstablished: boolean): void => {
+      resolve(isEstablished)
+      socket.destroy()
+    }
+    socket.once('error', () => finish(false))
+    // If the process was busy, the connection may be established already, which it learns before the check.
+    socket.setTimeout(PROBE_TIMEOUT_MS, () => setImmediate(() => { if (socket.connecting) finish(false) }))
+    const endpoint = { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) }
+    socket.connect(endpoint, () => finish(true))
+  })
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 import type Logger from 'bunyan'
 import { type Clock, Lifecycle, SystemRandom, toError } from '../base/index.js'
 import { Dispatcher, DispatchListener, Hub, SchedulerSelector } from '../dispatch/index.js'
-import { BufferBudget, ConnectionPool, Ingress } from '../forward/index.js'
+import { BufferBudget, Ingress } from '../forward/index.js'
 import type { Deployment } from '../routing/index.js'
 import { Scheduler } from '../schedule/index.js'
 import { MemberEvictor } from './memberevictor.js'
@@ -13,6 +13,7 @@
 import type { Platform } from './platform.js'
 import { ReadinessServer } from './readiness.js'
 import { RetrySlack } from './retryslack.js'
+import { ServerPaths } from './serverpaths.js'
 import type { GatewaySettings } from './settings.js'
 
 /** Interval of ticks, in milliseconds; well below the half second over which the scheduling limits are checked. */
@@ -27,7 +28,7 @@
 /** A host process: forwards requests of callers to backend servers, and schedules requests if selected to. */
 export class Gateway {
   private readonly lifecycle = new Lifecycle()
-  private readonly connectionPool: ConnectionPool
+  private readonly serverPaths: ServerPaths
   private readonly hub: Hub
   private readonly dispatcher: Dispatcher
   private readonly schedulerSelector: SchedulerSelector
@@ -66,7 +67,8 @@
     }, clock, log)
     const { gossip, fleet } = this.directory
     const scheduler = new Scheduler(settings.limits, settings.isFirstStart, new CrashLog(log))
-    this.connectionPool = new ConnectionPool(log)
+    const random = new SystemRandom()
+    this.serverPaths = new ServerPaths(fleet, random, clock, log)
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare(),
       (id, born) => this.directory.recordLeaving(id, born))
@@ -79,11 +81,12 @@
       headerNames: platform.headerNames,
       dataCentre,
       fleet,
-      connectionPool: this.connectionPool,
+      connectionPool: this.serverPaths.connectionPool,
+      reachability: this.serverPaths.reachability,
       bufferBudget: new BufferBudget(),
       dispatcher: this.dispatcher,
       clock,
-      random: new SystemRandom(),
+      random,
       log,
       deployment: () => this.directory.deployment,
       isClosing: () => this.isStopping,
@@ -106,6 +109,7 @@
       scheduler: schedulerSelector.schedulerHost,
       linkedHosts: hub.connectedHosts,
       requests: this.ingress.activeRequestCount,
+      canReachServers: this.serverPaths.reachability.canReachServers,
       jobs: this.dispatcher.jobCount,
       schedule: hub.scheduler.dump()
     }
@@ -115,7 +119,7 @@
   async start (): Promise<void> {
     const { settings, platform, lifecycle } = this
     const readiness = new ReadinessServer(platform.readinessPath, () => this.isReady)
-    lifecycle.onClose('connections to servers', () => this.connectionPool.close())
+    lifecycle.onClose('connections to servers', () => this.serverPaths.connectionPool.close())
     const listener = new DispatchListener(this.hub)
     await listener.listen(settings.links.ip, settings.links.port)
     lifecycle.onClose('links to this host', () => listener.close())
@@ -186,7 +190,7 @@
     const { fleet, membership, deployment } = this.directory
     const servers = fleet.listUsable(now)
     this.hub.scheduler.setServers(servers)
-    this.connectionPool.setIdleLimits(computeIdleLimits(servers, deployment, membership.list().length))
+    this.serverPaths.connectionPool.setIdleLimits(computeIdleLimits(servers, deployment, membership.list().length))
     this.updateHostShare()
     if (this.isScheduler) this.memberEvictor.evictAbsent(this.directory.membership, this.linkedHosts, now)
     else this.memberEvictor.reset()
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -2,7 +2,7 @@
 import { Lifecycle, MonotonicClock, SeededRandom } from '../src/base/index.js'
 import { Dispatcher, Gossip, Hub } from '../src/dispatch/index.js'
 import { type BackendServer, Fleet } from '../src/fleet/index.js'
-import { BufferBudget, ConnectionPool, type HeaderNames, Ingress } from '../src/forward/index.js'
+import { BufferBudget, ConnectionPool, type HeaderNames, Ingress, probeConnection, Reachability } from '../src/forward/index.js'
 import { Deployment, type DeploymentParts, QuotaUnit, RetrySafety, type Route } from '../src/routing/index.js'
 import { Scheduler } from '../src/schedule/index.js'
 import { RecordedLog } from './recordedlog.js'
@@ -125,7 +125,15 @@
     const dispatcher = new Dispatcher(this.clock, WIDE_LIMITS.retries)
     dispatcher.retrySlackShare = 1
     dispatcher.switchScheduler(hub.connect('h', reply => dispatcher.handleReply(reply)))
-    const connectionPool = new ConnectionPool(this.log.logger)
+    const random = new SeededRandom(1)
+    const reachability = new Reachability({
+      clock: this.clock,
+      random,
+      listAddresses: () => this.servers.map(({ address }) => address),
+      probe: probeConnection,
+      onChange: () => undefined
+    })
+    const connectionPool = new ConnectionPool(this.log.logger, () => reachability.recordConnected())
     connectionPool.setIdleLimits(new Map(this.servers.map(({ address }) => [address, IDLE_CONNECTIONS_PER_SERVER])))
     this.scheduler.setOrganisations(currentDeployment.organisations, this.clock.now())
     const ingress = new Ingress({
@@ -133,10 +141,11 @@
       dataCentre: 'd',
       fleet: this.fleet,
       connectionPool,
+      reachability,
       bufferBudget: new BufferBudget(),
       dispatcher,
       clock: this.clock,
-      random: new SeededRandom(1),
+      random,
       log: this.log.logger,
       deployment: () => currentDeployment,
       isClosing: () => this.isClosing,
