Test that a host without paths to the servers serves its callers

Three host processes, one of which is cut off from all servers: its connections go silent, are reset, or live on while new ones are refused.

The processes are cut off by a preloaded script of the test, since all of them share one address with the test.

--- a/test/hostprocess.ts
+++ b/test/hostprocess.ts
@@ -27,6 +27,8 @@
   readonly budgetSlack: number
   /** Whether the whole deployment starts for the first time. */
   readonly isFirstStart: boolean
+  /** Whether {@link severHost} can cut the process off from ports. */
+  readonly isSeverable?: boolean
 }
 
 /**
@@ -48,12 +50,16 @@
     '[platform]', `address = "${storeAddress}"`
   ].join('\n'))
   const env = { ...process.env, MARIGOLDVALVE_CONFIG: settings }
-  const child = spawn(process.execPath, ['target/marigoldvalve.cjs'], { env, stdio: ['ignore', 'pipe', 'pipe'] })
+  const { isSeverable = false } = spec
+  const preload = isSeverable ? ['--require', './test/severedsockets.cjs'] : []
+  const child = spawn(process.execPath, [...preload, 'target/marigoldvalve.cjs'], {
+    env, stdio: isSeverable ? ['ignore', 'pipe', 'pipe', 'ipc'] : ['ignore', 'pipe', 'pipe']
+  })
   const host = {
     process: child, callerAddress: `127.0.0.1:${port}`, readinessAddress: `127.0.0.1:${port + 1}`, output: ''
   }
-  child.stdout.on('data', bytes => { host.output += String(bytes) })
-  child.stderr.on('data', bytes => { host.output += String(bytes) })
+  child.stdout!.on('data', bytes => { host.output += String(bytes) })
+  child.stderr!.on('data', bytes => { host.output += String(bytes) })
   return host
 }
 
@@ -69,6 +75,32 @@
   await ended
 }
 
+/** How a host that is cut off loses its connections. */
+export const Cut = {
+  /** Bytes are lost and new connections are never established. */
+  silent: 'silent',
+  /** Open connections are reset and new ones refused. */
+  reset: 'reset',
+  /** Open connections live on, and new ones are refused. */
+  refuse: 'refuse'
+} as const
+
+/** One of the values of {@link Cut}. */
+export type Cut = typeof Cut[keyof typeof Cut]
+
+/**
+ * Cuts a host off from addresses, or ends the cut.
+ *
+ * @param host - a severable process
+ * @param addresses - IP addresses and ports
+ * @param cut - how its connections are lost; undefined ends the cut
+ */
+export async function severHost (host: HostProcess, addresses: readonly string[], cut: Cut | undefined): Promise<void> {
+  const done = new Promise(resolve => host.process.once('message', resolve))
+  host.process.send({ mode: cut, ports: addresses.map(address => Number(address.split(':')[1])) })
+  await done
+}
+
 /** @returns whether the host reports that it is ready */
 export async function isReady (host: HostProcess): Promise<boolean> {
   try {
