Send requests by way of other hosts while no server can be reached

Cause: a request could reach a server only from the host that read it, so a host without a path had to refuse. Besides, it reported each failure to the scheduler as one of the server, which then gave the servers nothing from any host for up to 4 s. Class of fault: a failure of one host's network path is taken for a failure of what is behind it.

Ruled out: a host that does not notice; a failure of the scheduler, which no host changed.

Change: a host that can connect to none of three servers after a failure, or after 400 ms without data, sends its requests by way of other hosts that say that they reach servers. The host that read the request keeps its slot, sends, deadline and response; the other one has only the connection, refuses servers that it may not use, and stops a request that the first one cancels. A request that a host did not send is known not to have run; if the connection between hosts fails, it may have. Failures of a path are reported as such, not as the server's.

--- a/src/dispatch/listener.ts
+++ b/src/dispatch/listener.ts
@@ -1,19 +1,26 @@
 import { createServer, type Http2Server, type ServerHttp2Session } from 'node:http2'
+import type { ConnectRouter } from '@connectrpc/connect'
 import { connectNodeAdapter } from '@connectrpc/connect-node'
 import { SendQueue } from '../peer/index.js'
 import type { SchedulerConnection } from './connection.js'
 import { type Ask, type Asks, Dispatch, type Reply } from './dispatch_pb.js'
 import type { Hub } from './hub.js'
 
-/** Accepts connections of other hosts to the scheduler of this process. */
+/** Accepts connections of other hosts to the scheduler of this process, and to its other services. */
 export class DispatchListener {
   private readonly server: Http2Server
   private readonly sessions = new Set<ServerHttp2Session>()
 
-  /** @param hub - handles the messages of the connected hosts */
-  constructor (private readonly hub: Hub) {
+  /**
+   * @param hub - handles the messages of the connected hosts
+   * @param registerOthers - registers the other services
+   */
+  constructor (private readonly hub: Hub, registerOthers: (router: ConnectRouter) => void = () => undefined) {
     this.server = createServer(connectNodeAdapter({
-      routes: router => router.service(Dispatch, { link: (asks, context) => this.serveLink(asks, context.signal) }),
+      routes: router => {
+        router.service(Dispatch, { link: (asks, context) => this.serveLink(asks, context.signal) })
+        registerOthers(router)
+      },
       acceptCompression: []
     }))
     this.server.on('session', session => {
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,6 +1,6 @@
 import type { JobHandle, Placement } from '../dispatch/index.js'
 import type { BackendServer } from '../fleet/index.js'
-import { chooseService, mayRetryAfterExecution } from '../routing/index.js'
+import { chooseService } from '../routing/index.js'
 import { Outcome, Refusal, SUCCESSES } from '../schedule/index.js'
 import type { BufferedResponse } from './bufferedresponse.js'
 import type { CallerRequest } from './callerrequest.js'
@@ -10,11 +10,11 @@
 import { EventSequencer } from './eventsequencer.js'
 import { FailedResponse } from './failedresponse.js'
 import { recordStatement } from './recordstatement.js'
+import { reportFault } from './reportfault.js'
+import { SendLimit } from './sendlimit.js'
 import { Slots } from './slots.js'
 import { Status } from './status.js'
-
-/** Least time before the deadline at which a request is retried, in milliseconds: about one round trip. */
-const MIN_RETRY_TIME_MS = 30
+import type { Transport } from './transport.js'
 
 /**
  * Silence after which a server that is no longer listed counts as lost, in milliseconds. A server that leaves
@@ -22,9 +22,6 @@
  */
 const REMOVED_SERVER_SILENCE_MS = 3_000
 
-/** How many further slots an attempt requests because the granted server is no longer usable. */
-const MAX_REGRANTS = 8
-
 /** One attempt of a caller, from its arrival to its final response. It is sent to one server at a time. */
 export class Attempt {
   private readonly slots: Slots
@@ -32,8 +29,9 @@
   /** The latest delivery that gave no usable response, for the log. */
   private lostDelivery: Delivery | undefined
   private readonly sequencer: EventSequencer
-  private sendCount = 0
-  private regrantCount = 0
+  private readonly sendLimit: SendLimit
+  /** Transports that failed before the request was sent to the server of the current slot. */
+  private failedTransports: Transport[] = []
   private readonly failedResponse: FailedResponse
   private isFinished = false
 
@@ -50,6 +48,7 @@
     private readonly onFinished: (attempt: Attempt) => void
   ) {
     this.sequencer = new EventSequencer(request.lastEventId)
+    this.sendLimit = new SendLimit(request, context.clock)
     this.slots = new Slots(context, request, chooseService(request.route, context.random.next()), {
       onPlacement: placement => this.handlePlacement(placement),
       onAlternative: (server, job) => this.leaveSilentServer(server, job)
@@ -80,8 +79,8 @@
     if (this.isFinished) return
     this.delivery?.tick(now)
     if (now >= this.request.deadlineAt) {
-      if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
       this.cancel()
+      if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
       this.fail(Status.gatewayTimeout, 'no answer within the time that the route allows')
     } else if (this.delivery?.isSilent(now) === true) {
       this.handleSilence(this.delivery, now)
@@ -95,11 +94,11 @@
    * only if the server is no longer listed.
    */
   private handleSilence (delivery: Delivery, now: number): void {
-    this.slots.job?.reportSilent()
+    if (delivery.exchange.isPathSound) this.slots.job?.reportSilent()
     if (delivery.silenceMs(now) > REMOVED_SERVER_SILENCE_MS && !this.context.fleet.isCurrent(delivery.server)) {
       delivery.abort()
       this.handleLost(delivery, Outcome.silent)
-    } else if (this.canRepeat()) {
+    } else if (this.sendLimit.canRepeat()) {
       this.slots.requestAlternative(delivery.server.id, now)
     }
   }
@@ -112,12 +111,13 @@
     if (server === undefined || delivery?.isSilent(now) !== true) return false
     delivery.abort()
     this.recordLost(delivery, Outcome.silent)
-    this.send(server, job)
+    this.send(server, job, this.context.paths.choose())
     return true
   }
 
   private requestSlot (isRetry: boolean): void {
     this.delivery = undefined
+    this.failedTransports = []
     this.slots.requestSlot(isRetry)
   }
 
@@ -129,22 +129,19 @@
     this.slots.isCharged = true
     const server = this.context.fleet.findUsable(placement.server, this.context.clock.now())
     if (server === undefined) this.requestOtherSlot(placement.server)
-    else this.send(server, this.slots.job!)
+    else this.send(server, this.slots.job!, this.context.paths.choose())
   }
 
   /** Returns a slot whose server is unusable, which the scheduler does not know yet, and requests another slot. */
   private requestOtherSlot (unusableServer: string): void {
-    this.slots.job?.reportEnded(Outcome.cancelled)
-    this.slots.excludedServers.push(unusableServer)
-    this.regrantCount++
-    if (this.regrantCount > MAX_REGRANTS) this.fail(Status.unavailable, 'no server takes work')
-    else this.requestSlot(false)
+    if (this.slots.release(unusableServer)) this.requestSlot(false)
+    else this.fail(Status.unavailable, 'no server takes work')
   }
 
-  private send (server: BackendServer, job: JobHandle): void {
-    this.log('sent', { server: server.id, send: this.sendCount + 1 })
-    this.delivery = new Delivery(this.context, this.request, server, this.sequencer, this.response, {
-      onSent: () => { this.sendCount++ },
+  private send (server: BackendServer, job: JobHandle, transport: Transport): void {
+    this.log('sent', { server: server.id, send: this.sendLimit.sent + 1, ...transport.logFields })
+    this.delivery = new Delivery(this.context, this.request, server, transport, this.sequencer, this.response, {
+      onSent: () => this.sendLimit.recordSend(),
       onStatement: statement => recordStatement(this.context, job, server, statement),
       onStarted: () => job.reportStarted(),
       onEnded: (delivery, outcome, result) => this.handleDeliveryEnd(delivery, outcome, result)
@@ -155,9 +152,10 @@
     if (this.isFinished) return
     const isUsable = result === undefined || !this.response.isStarted
     if (SUCCESSES.has(outcome) && isUsable) this.complete(delivery, outcome, result)
-    else if (outcome === Outcome.rejected || outcome === Outcome.misdirected || outcome === Outcome.unreachable) {
-      this.handleNotRun(delivery, outcome)
-    } else if (outcome === Outcome.unsendable) {
+    else if (outcome === Outcome.rejected || outcome === Outcome.misdirected) this.handleNotRun(delivery, outcome)
+    else if (outcome === Outcome.unreachable) void this.handleUnreachable(delivery)
+    else if (outcome === Outcome.cancelled) this.requestOtherSlot(delivery.server.id)
+    else if (outcome === Outcome.unsendable) {
       this.slots.job?.reportEnded(outcome)
       this.log('unsendable', { reason: delivery.failureReason })
       this.response.sendText(Status.badRequest, 'the request can not be passed on')
@@ -176,26 +174,38 @@
     this.finish()
   }
 
+  /** If this host's path to the server failed, the request is sent on another one with the same slot. */
+  private async handleUnreachable (delivery: Delivery): Promise<void> {
+    const isPathSound = await delivery.exchange.verifyPath()
+    this.failedTransports.push(delivery.transport)
+    const transport = isPathSound ? undefined : await this.context.paths.chooseOther(this.failedTransports)
+    if (this.isFinished || this.delivery !== delivery) return
+    const server = this.context.fleet.findUsable(delivery.server.id, this.context.clock.now())
+    if (transport === undefined) this.handleNotRun(delivery, Outcome.unreachable)
+    else if (server === undefined) this.requestOtherSlot(delivery.server.id)
+    else this.send(server, this.slots.job!, transport)
+  }
+
   private handleNotRun (delivery: Delivery, outcome: Outcome): void {
     this.slots.job?.reportEnded(outcome)
     this.log('not-run', { server: delivery.server.id, outcome })
     this.slots.excludedServers.push(delivery.server.id)
     // If nothing was sent, the next send does not draw on the retry budget.
-    if (this.canRetry()) this.requestSlot(delivery.wasSent)
+    if (this.sendLimit.canRetry(this.failedResponse.mayHaveRun)) this.requestSlot(delivery.wasSent)
     else this.fail(Status.unavailable, 'the server did not take the request')
   }
 
   /** Handles a delivery without a usable response whose server may have run the request. */
   private handleLost (delivery: Delivery, outcome: Outcome): void {
     this.recordLost(delivery, outcome)
-    if (this.canRepeat()) this.requestSlot(true)
+    if (this.sendLimit.canRepeat()) this.requestSlot(true)
     else this.fail(Status.badGateway, 'the server gave no whole answer')
   }
 
   private recordLost (delivery: Delivery, outcome: Outcome): void {
     this.failedResponse.mayHaveRun = true
     this.lostDelivery = delivery
-    this.slots.job?.reportEnded(outcome)
+    reportFault(this.slots.job, delivery, outcome)
     const silentMs = Math.round(delivery.silenceMs(this.context.clock.now()))
     const { sharedPromptParts: parts } = this.request
     this.log('lost', { server: delivery.server.id, outcome, reason: delivery.failureReason, silentMs, parts })
@@ -203,20 +213,9 @@
     this.sequencer.discardPartialEvent()
   }
 
-  /** Whether the request may be sent again though a server may have run it. */
-  private canRepeat (): boolean {
-    return mayRetryAfterExecution(this.request.route) && this.canRetry()
-  }
-
-  private canRetry (): boolean {
-    if (!mayRetryAfterExecution(this.request.route) && this.failedResponse.mayHaveRun) return false
-    const remainingMs = this.request.deadlineAt - this.context.clock.now()
-    return this.sendCount < this.request.route.maxAttempts && remainingMs > MIN_RETRY_TIME_MS
-  }
-
   private handleRefusal (reason: Refusal, retryAfterMs: number): void {
     this.log('refused', { reason, retryAfterMs })
-    if (this.response.isStarted && reason !== Refusal.crashes && this.canRepeat()) {
+    if (this.response.isStarted && reason !== Refusal.crashes && this.sendLimit.canRepeat()) {
       this.slots.requestSlotLater(this.context.clock.now())
     } else if (reason === Refusal.quota && !this.failedResponse.mayHaveRun) {
       this.response.sendText(Status.tooManyRequests, 'the allowance is used up', retryAfterMs)
--- a/src/forward/connectionpool.ts
+++ b/src/forward/connectionpool.ts
@@ -59,6 +59,12 @@
     }
   }
 
+  /** Closes the connections that are idle now. */
+  closeIdle (): void {
+    for (const connections of this.idle.values()) for (const connection of connections) connection.close()
+    this.idle.clear()
+  }
+
   /** Closes all idle connections and keeps none from now on. */
   close (): void {
     this.setIdleLimits(new Map())
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -4,9 +4,8 @@
 import type { Fleet } from '../fleet/index.js'
 import type { Deployment } from '../routing/index.js'
 import type { BufferBudget } from './bufferbudget.js'
-import type { ConnectionPool } from './connectionpool.js'
 import type { HeaderNames } from './headernames.js'
-import type { Reachability } from './reachability.js'
+import type { Paths } from './paths.js'
 
 /** Dependencies of the handling of callers' requests. */
 export interface ForwardContext {
@@ -15,8 +14,7 @@
   /** The data centre of this host. */
   readonly dataCentre: string
   readonly fleet: Fleet
-  readonly connectionPool: ConnectionPool
-  readonly reachability: Reachability
+  readonly paths: Paths
   readonly bufferBudget: BufferBudget
   readonly dispatcher: Dispatcher
   /** Clock of monotonic time. */
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -8,14 +8,15 @@
 import type { ForwardContext } from './context.js'
 import type { DeliveryListener } from './deliverylistener.js'
 import type { EventSequencer } from './eventsequencer.js'
-import { Exchange, type ResponseHandler } from './exchange.js'
+import type { Exchange, ResponseHandler } from './exchange.js'
 import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders, statedBodyLength } from './headers.js'
-import { buildOutgoingHeaders } from './outgoingheaders.js'
+import { buildOutgoingRequest } from './outgoingrequest.js'
 import { ReceiveLimit } from './receivelimit.js'
 import { classifyResponse } from './responseoutcome.js'
 import { ResponseTimes } from './responsetimes.js'
 import { readServerStatement } from './serverstatement.js'
 import { Status } from './status.js'
+import type { Transport } from './transport.js'
 
 /** A server is silent if it sends nothing for this time or twice the latency objective, if longer; in milliseconds. */
 const MIN_SILENCE_MS = 1_000
@@ -29,7 +30,7 @@
   wasSent = false
   /** Why there is no complete response; empty if there is one. */
   failureReason = ''
-  private readonly exchange: Exchange
+  readonly exchange: Exchange
   private readonly times: ResponseTimes
   private status = 0
   private headers: RawHeaders = []
@@ -47,6 +48,7 @@
    * @param context - what the delivery depends on
    * @param request - the caller's request
    * @param server - the server to send it to
+   * @param transport - how to send it
    * @param sequencer - selects the events to forward
    * @param response - the response to the caller, which receives the events of a stream
    * @param listener - receives the progress
@@ -55,15 +57,15 @@
     private readonly context: ForwardContext,
     private readonly request: CallerRequest,
     readonly server: BackendServer,
+    readonly transport: Transport,
     private readonly sequencer: EventSequencer,
     private readonly response: CallerResponse,
     private readonly listener: DeliveryListener
   ) {
     this.times = new ResponseTimes(context.clock.now())
-    const { method, target, body } = request
-    const headers = buildOutgoingHeaders(context.headerNames, request, server, sequencer.lastEventId, this.times.sentAt)
-    const outgoing = { method, target, headers, body: body.length > 0 ? body : null }
-    this.exchange = new Exchange(context.connectionPool, server.address, outgoing, this)
+    const { headerNames } = context
+    const outgoing = buildOutgoingRequest(headerNames, request, server, sequencer.lastEventId, this.times.sentAt)
+    this.exchange = transport.send(server, outgoing, this)
   }
 
   /** Mean time between a stream's events, or duration of a request that is not streamed; in milliseconds, if known. */
@@ -106,12 +108,12 @@
   }
 
   /**
-   * Checks the network path while the server is silent.
+   * Checks the path while the server is silent.
    *
    * @param now - monotonic time, in milliseconds
    */
   tick (now: number): void {
-    this.context.reachability.checkIfQuiet(this.server.address, this.silenceMs(now))
+    this.exchange.handleSilence(this.silenceMs(now))
   }
 
   onSent (): void {
@@ -121,7 +123,6 @@
 
   onReading (bytes: number): void {
     if (this.isFinished) return
-    this.context.reachability.recordReceived()
     const excess = this.receiveLimit.checkOverhead(bytes)
     if (excess !== undefined) this.abortAsBroken(excess)
   }
@@ -129,15 +130,14 @@
   onHead (status: number, headers: RawHeaders): void {
     if (this.isFinished) return
     const { attemptId, route } = this.request
-    const echoedId = findHeader(headers, this.context.headerNames.attemptId)
+    const { headerNames } = this.context
+    const echoedId = findHeader(headers, headerNames.attemptId)
     if (attemptId !== undefined && echoedId !== undefined && echoedId !== attemptId) {
       this.abortAsBroken('the response belongs to another attempt')
       return
     }
     // The server at this address is another one.
-    if (status !== Status.misdirected) {
-      this.listener.onStatement(readServerStatement(status, headers, this.context.headerNames))
-    }
+    if (status !== Status.misdirected) this.listener.onStatement(readServerStatement(status, headers, headerNames))
     this.status = status
     this.headers = endToEndHeaders(headers, REWRITTEN_HEADERS)
     this.isCloseDelimited = isCloseDelimited(headers)
@@ -180,9 +180,11 @@
   }
 
   onFailure (error: Error): void {
-    if (this.isFinished) return
-    void this.context.reachability.verify(this.server.address)
-    this.fail(this.wasSent ? Outcome.broken : Outcome.unreachable, error.message)
+    if (!this.isFinished) this.fail(this.wasSent ? Outcome.broken : Outcome.unreachable, error.message)
+  }
+
+  onUnusable (): void {
+    if (!this.isFinished) this.fail(Outcome.cancelled, 'the host that relays may not use the server')
   }
 
   onUnsendable (error: Error): void {
--- /dev/null
+++ b/src/forward/directexchange.ts
@@ -0,0 +1,118 @@
+import type { Dispatcher as UndiciDispatcher } from 'undici'
+import type { ServerConnection } from './connection.js'
+import type { ConnectionPool } from './connectionpool.js'
+import type { Exchange, OutgoingRequest, ResponseHandler } from './exchange.js'
+import type { Reachability } from './reachability.js'
+
+/** One request and its response over one connection. */
+export class DirectExchange implements Exchange, UndiciDispatcher.DispatchHandler {
+  private readonly connection: ServerConnection
+  private abortRequest: (() => void) | undefined
+  private resumeReading: (() => void) | undefined
+  private isDone = false
+  private isConstructed = false
+  private isReleased = false
+
+  /**
+   * Sends a request.
+   *
+   * @param pool - provides the connection
+   * @param reachability - tells whether this host can reach servers
+   * @param address - the server's IP address and port
+   * @param request - the request
+   * @param handler - receives the response
+   */
+  constructor (
+    private readonly pool: ConnectionPool,
+    private readonly reachability: Reachability,
+    private readonly address: string,
+    request: OutgoingRequest,
+    private readonly handler: ResponseHandler
+  ) {
+    const connection = pool.acquire(address)
+    this.connection = connection
+    const bytesBefore = connection.parsedBytes
+    connection.dispatch({
+      method: request.method as UndiciDispatcher.HttpMethod,
+      path: request.target,
+      headers: request.headers as string[],
+      body: request.body
+    }, this, () => {
+      if (this.isDone) return
+      reachability.recordReceived()
+      handler.onReading(connection.parsedBytes - bytesBefore)
+    })
+    this.isConstructed = true
+  }
+
+  get isPathSound (): boolean {
+    return this.reachability.canReachServers
+  }
+
+  verifyPath (): Promise<boolean> {
+    return this.reachability.verify(this.address)
+  }
+
+  handleSilence (silenceMs: number): void {
+    this.reachability.checkIfQuiet(this.address, silenceMs)
+  }
+
+  abort (): void {
+    if (this.isReleased) return
+    const wasDone = this.isDone
+    this.isDone = true
+    if (!wasDone) this.abortRequest?.()
+    this.connection.close()
+  }
+
+  release (): void {
+    this.isReleased = true
+    this.pool.release(this.address, this.connection)
+  }
+
+  resume (): void {
+    this.resumeReading?.()
+  }
+
+  onConnect (abort: (error?: Error) => void): void {
+    if (this.isDone) {
+      abort()
+      return
+    }
+    this.abortRequest = abort
+    this.handler.onSent()
+  }
+
+  onHeaders (status: number, headers: Buffer[], resume: () => void): boolean {
+    this.resumeReading = resume
+    if (!this.isDone && status >= 200) this.handler.onHead(status, headers.map(field => field.toString('latin1')))
+    return true
+  }
+
+  onData (bytes: Buffer): boolean {
+    return this.isDone || this.handler.onBody(bytes)
+  }
+
+  onComplete (): void {
+    if (this.isDone) return
+    this.isDone = true
+    if (this.connection.wasReset) this.handler.onFailure(new Error('the connection was reset'))
+    else this.handler.onEnd()
+  }
+
+  onError (error: Error): void {
+    // The caller of the constructor can't handle the error before the constructor returns the exchange.
+    if (!this.isConstructed) queueMicrotask(() => this.handleError(error))
+    else this.handleError(error)
+  }
+
+  private handleError (error: Error): void {
+    if (this.isDone) return
+    this.isDone = true
+    this.connection.isUsable = false
+    const { code } = error as NodeJS.ErrnoException
+    // The request itself is invalid, so the server is not at fault.
+    if (code === 'UND_ERR_INVALID_ARG') this.handler.onUnsendable(error)
+    else this.handler.onFailure(error)
+  }
+}
--- /dev/null
+++ b/src/forward/directtransport.ts
@@ -0,0 +1,21 @@
+import type { BackendServer } from '../fleet/index.js'
+import type { ConnectionPool } from './connectionpool.js'
+import { DirectExchange } from './directexchange.js'
+import type { Exchange, OutgoingRequest, ResponseHandler } from './exchange.js'
+import type { Reachability } from './reachability.js'
+import type { Transport } from './transport.js'
+
+/** Sends requests over connections of this host to the servers. */
+export class DirectTransport implements Transport {
+  readonly logFields = {}
+
+  /**
+   * @param pool - the connections
+   * @param reachability - tells whether this host can reach servers
+   */
+  constructor (private readonly pool: ConnectionPool, private readonly reachability: Reachability) {}
+
+  send (server: BackendServer, request: OutgoingRequest, handler: ResponseHandler): Exchange {
+    return new DirectExchange(this.pool, this.reachability, server.address, request, handler)
+  }
+}
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -1,6 +1,3 @@
-import type { Dispatcher as UndiciDispatcher } from 'undici'
-import type { ServerConnection } from './connection.js'
-import type { ConnectionPool } from './connectionpool.js'
 import type { RawHeaders } from './headers.js'
 
 /** A request as it is sent to a server. */
@@ -9,11 +6,13 @@
   readonly target: string
   readonly headers: readonly string[]
   readonly body: Buffer | null
+  /** Time until the response is due, in milliseconds. */
+  readonly remainingMs: number
 }
 
 /** Receives a server's response to one request. */
 export interface ResponseHandler {
-  /** Called when the connection starts to write the request. */
+  /** Called when the request may have reached the server; at the latest when the exchange is aborted. */
   onSent (): void
   /**
    * Called before further bytes of the server are parsed.
@@ -43,6 +42,8 @@
    * @param error - the error of the connection
    */
   onFailure (error: Error): void
+  /** Called if the request was not sent since the host that relays it may not use the server. */
+  onUnusable (): void
   /**
    * Called when the request can't be sent to any server.
    *
@@ -51,100 +52,26 @@
   onUnsendable (error: Error): void
 }
 
-/** One request and its response over one connection. */
-export class Exchange implements UndiciDispatcher.DispatchHandler {
-  private readonly connection: ServerConnection
-  private abortRequest: (() => void) | undefined
-  private resumeReading: (() => void) | undefined
-  private isDone = false
-  private isConstructed = false
-  private isReleased = false
-
+/** One request to a server and its response. */
+export interface Exchange {
+  /** Whether the path to the server works, as far as this host knows. */
+  readonly isPathSound: boolean
   /**
-   * Sends a request.
+   * Checks the path after the exchange has failed.
    *
-   * @param pool - provides the connection
-   * @param address - the server's IP address and port
-   * @param request - the request
-   * @param handler - receives the response
+   * @returns whether it works, so that the server is at fault
    */
-  constructor (
-    private readonly pool: ConnectionPool,
-    private readonly address: string,
-    request: OutgoingRequest,
-    private readonly handler: ResponseHandler
-  ) {
-    const connection = pool.acquire(address)
-    this.connection = connection
-    const bytesBefore = connection.parsedBytes
-    connection.dispatch({
-      method: request.method as UndiciDispatcher.HttpMethod,
-      path: request.target,
-      headers: request.headers as string[],
-      body: request.body
-    }, this, () => { if (!this.isDone) handler.onReading(connection.parsedBytes - bytesBefore) })
-    this.isConstructed = true
-  }
-
-  /** Aborts the request and closes its connection, unless it was released; the handler is not called any more. */
-  abort (): void {
-    if (this.isReleased) return
-    const wasDone = this.isDone
-    this.isDone = true
-    if (!wasDone) this.abortRequest?.()
-    this.connection.close()
-  }
-
-  /** Returns the connection to the pool, after a complete response. */
-  release (): void {
-    this.isReleased = true
-    this.pool.release(this.address, this.connection)
-  }
-
+  verifyPath (): Promise<boolean>
+  /**
+   * Checks the path if the server has sent nothing for long. To be called at intervals.
+   *
+   * @param silenceMs - time for which the server has sent nothing, in milliseconds
+   */
+  handleSilence (silenceMs: number): void
+  /** Aborts the request, unless the exchange was released; the response is not reported any more. */
+  abort (): void
   /** Continues to read the body after `onBody` returned false. */
-  resume (): void {
-    this.resumeReading?.()
-  }
-
-  onConnect (abort: (error?: Error) => void): void {
-    if (this.isDone) {
-      abort()
-      return
-    }
-    this.abortRequest = abort
-    this.handler.onSent()
-  }
-
-  onHeaders (status: number, headers: Buffer[], resume: () => void): boolean {
-    this.resumeReading = resume
-    if (!this.isDone && status >= 200) this.handler.onHead(status, headers.map(field => field.toString('latin1')))
-    return true
-  }
-
-  onData (bytes: Buffer): boolean {
-    return this.isDone || this.handler.onBody(bytes)
-  }
-
-  onComplete (): void {
-    if (this.isDone) return
-    this.isDone = true
-    if (this.connection.wasReset) this.handler.onFailure(new Error('the connection was reset'))
-    else this.handler.onEnd()
-  }
-
-  onError (error: Error): void {
-    // The caller of the constructor can't handle the error before the constructor returns the exchange.
-    if (!this.isConstructed) queueMicrotask(() => this.handleError(error))
-    else this.handleError(error)
-  }
-
-  private handleError (error: Error): void {
-    if (this.isDone) return
-    this.isDone = true
-    this.connection.isUsable = false
-    const { code } = error as NodeJS.ErrnoException
-    // The request itself is invalid, so the server is not at fault.
-    if (code === 'UND_ERR_INVALID_ARG') this.handler.onUnsendable(error)
-    else this.handler.onFailure(error)
-  }
+  resume (): void
+  /** Keeps the connection for other requests. To be called after a complete response. */
+  release (): void
 }
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -84,7 +84,7 @@
    * @param now - monotonic time, in milliseconds
    */
   tick (now: number): void {
-    this.context.reachability.tick()
+    this.context.paths.tick()
     for (const attempt of this.attempts) attempt.tick(now)
   }
 
--- a/src/forward/slots.ts
+++ b/src/forward/slots.ts
@@ -10,6 +10,9 @@
 /** Time until a slot is requested again for a response that was begun, in milliseconds. */
 const RESUME_INTERVAL_MS = 250
 
+/** How many further slots an attempt requests because the granted server is no longer usable. */
+const MAX_REGRANTS = 8
+
 /** Receives the results of an attempt's slot requests. */
 export interface SlotListener {
   /**
@@ -42,6 +45,7 @@
   private nextAlternativeAt = 0
   /** When to request a slot again, monotonic milliseconds. */
   private resumeAt = Infinity
+  private regrantCount = 0
   private isClosed = false
 
   /**
@@ -81,6 +85,19 @@
     this.alternative = undefined
   }
 
+  /**
+   * Returns the current slot, whose server is unusable, which the scheduler does not know yet.
+   *
+   * @param unusableServer - id of the server
+   * @returns whether another slot may be requested
+   */
+  release (unusableServer: string): boolean {
+    this.current?.reportEnded(Outcome.cancelled)
+    this.excludedServers.push(unusableServer)
+    this.regrantCount++
+    return this.regrantCount <= MAX_REGRANTS
+  }
+
   /**
    * Requests a slot at another server while the current one is silent, unless one was requested shortly before.
    *
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -68,7 +68,10 @@
     const { gossip, fleet } = this.directory
     const scheduler = new Scheduler(settings.limits, settings.isFirstStart, new CrashLog(log))
     const random = new SystemRandom()
-    this.serverPaths = new ServerPaths(fleet, random, clock, log)
+    const bufferBudget = new BufferBudget()
+    const { headerNames } = platform
+    const isAccepting = (): boolean => !this.isStopping
+    this.serverPaths = new ServerPaths(settings, { headerNames, fleet, bufferBudget, random, clock, log, isAccepting })
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShare(),
       (id, born) => this.directory.recordLeaving(id, born))
@@ -78,12 +81,11 @@
     this.schedulerSelector = new SchedulerSelector(host, links.ip, this.hub, this.dispatcher, gossip, clock,
       (scheduler, reason) => log.info({ event: 'scheduler-chosen', scheduler, reason }, 'scheduler-chosen'))
     this.ingress = new Ingress({
-      headerNames: platform.headerNames,
+      headerNames,
       dataCentre,
       fleet,
-      connectionPool: this.serverPaths.connectionPool,
-      reachability: this.serverPaths.reachability,
-      bufferBudget: new BufferBudget(),
+      paths: this.serverPaths.paths,
+      bufferBudget,
       dispatcher: this.dispatcher,
       clock,
       random,
@@ -109,7 +111,7 @@
       scheduler: schedulerSelector.schedulerHost,
       linkedHosts: hub.connectedHosts,
       requests: this.ingress.activeRequestCount,
-      canReachServers: this.serverPaths.reachability.canReachServers,
+      paths: this.serverPaths.dump(),
       jobs: this.dispatcher.jobCount,
       schedule: hub.scheduler.dump()
     }
@@ -119,8 +121,8 @@
   async start (): Promise<void> {
     const { settings, platform, lifecycle } = this
     const readiness = new ReadinessServer(platform.readinessPath, () => this.isReady)
-    lifecycle.onClose('connections to servers', () => this.serverPaths.connectionPool.close())
-    const listener = new DispatchListener(this.hub)
+    lifecycle.onClose('connections to servers', () => this.serverPaths.close())
+    const listener = new DispatchListener(this.hub, router => this.serverPaths.relayService.register(router))
     await listener.listen(settings.links.ip, settings.links.port)
     lifecycle.onClose('links to this host', () => listener.close())
     lifecycle.onClose('links from this host', () => this.schedulerSelector.close())
@@ -149,7 +151,7 @@
     void this.directory.membership.leave()
     this.membersChanged()
     await drain({
-      activeRequestCount: () => this.ingress.activeRequestCount,
+      activeRequestCount: () => this.ingress.activeRequestCount + this.serverPaths.relayService.activeRequestCount,
       stopAccepting: () => {
         this.ingress.stopAccepting()
         this.isAccepting = false
@@ -229,7 +231,9 @@
   }
 
   private membersChanged (): void {
-    this.schedulerSelector.setMembers(this.directory.membership.list())
+    const members = this.directory.membership.list()
+    this.schedulerSelector.setMembers(members)
+    this.serverPaths.relays.setMembers(members)
     this.serversChanged()
   }
 
--- a/test/order.test.ts
+++ b/test/order.test.ts
@@ -5,7 +5,7 @@
 /** The modules in dependency order: each imports only from modules listed before it. */
 const MODULES = ['base', 'config', 'settings', 'platform', 'journal', 'member', 'record', 'claim', 'admission', 'engine',
   'metrics', 'poison', 'owner', 'service', 'peer', 'entry', 'admin', 'host', 'routing', 'fleet', 'migration', 'schedule',
-  'store', 'dispatch', 'forward', 'gateway', 'cli']
+  'store', 'dispatch', 'forward', 'relay', 'gateway', 'cli']
 
 function importsOf (module: string): string[] {
   const fileNames = readdirSync(`src/${module}`).filter(name => name.endsWith('.ts'))
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -2,7 +2,9 @@
 import { Lifecycle, MonotonicClock, SeededRandom } from '../src/base/index.js'
 import { Dispatcher, Gossip, Hub } from '../src/dispatch/index.js'
 import { type BackendServer, Fleet } from '../src/fleet/index.js'
-import { BufferBudget, ConnectionPool, type HeaderNames, Ingress, probeConnection, Reachability } from '../src/forward/index.js'
+import {
+  BufferBudget, ConnectionPool, DirectTransport, type HeaderNames, Ingress, probeConnection, Reachability
+} from '../src/forward/index.js'
 import { Deployment, type DeploymentParts, QuotaUnit, RetrySafety, type Route } from '../src/routing/index.js'
 import { Scheduler } from '../src/schedule/index.js'
 import { RecordedLog } from './recordedlog.js'
@@ -134,14 +136,14 @@
       onChange: () => undefined
     })
     const connectionPool = new ConnectionPool(this.log.logger, () => reachability.recordConnected())
+    const direct = new DirectTransport(connectionPool, reachability)
     connectionPool.setIdleLimits(new Map(this.servers.map(({ address }) => [address, IDLE_CONNECTIONS_PER_SERVER])))
     this.scheduler.setOrganisations(currentDeployment.organisations, this.clock.now())
     const ingress = new Ingress({
       headerNames: HEADER_NAMES,
       dataCentre: 'd',
       fleet: this.fleet,
-      connectionPool,
-      reachability,
+      paths: { choose: () => direct, chooseOther: () => Promise.resolve(undefined), tick: () => reachability.tick() },
       bufferBudget: new BufferBudget(),
       dispatcher,
       clock: this.clock,
