Take a host for cut off only if it reaches none of many servers

Cause: a check tried three servers only. It now tries up to 16 more if it reaches none of these.

The new case of reachability.test.ts failed before.

--- a/src/forward/reachability.ts
+++ b/src/forward/reachability.ts
@@ -1,7 +1,8 @@
 import type { Clock, Random } from '../base/index.js'
 
-/** Number of servers that a check connects to. */
-const PROBED_SERVERS = 3
+/** Number of servers that a check connects to, and of further ones if it reaches none of these. */
+const FIRST_PROBES = 3
+const FURTHER_PROBES = 16
 
 /** How long the result of a check or an established connection is relied on, in milliseconds. */
 const RESULT_TTL_MS = 100
@@ -99,14 +100,10 @@
   }
 
   private async probeServers (failedAddress: string | undefined): Promise<boolean> {
-    const addresses = this.chooseAddresses(failedAddress)
     const startedAt = this.context.clock.now()
-    const isAnyEstablished = await new Promise<boolean>(resolve => {
-      const probes = addresses.map(async address => {
-        if (await this.context.probe(address)) resolve(true)
-      })
-      void Promise.all(probes).then(() => resolve(addresses.length === 0))
-    })
+    const addresses = this.orderAddresses(failedAddress)
+    const isAnyEstablished = addresses.length === 0 || await this.probeAny(addresses.slice(0, FIRST_PROBES)) ||
+      await this.probeAny(addresses.slice(FIRST_PROBES, FIRST_PROBES + FURTHER_PROBES))
     const now = this.context.clock.now()
     this.checkedAt = now
     // A connection that was established meanwhile counts more than probes that failed.
@@ -114,15 +111,24 @@
     return this.isReachable
   }
 
-  private chooseAddresses (failedAddress: string | undefined): string[] {
-    const all = [...new Set(this.context.listAddresses())]
-    const others = all.filter(address => address !== failedAddress)
-    const candidates = others.length > 0 ? others : all
-    const chosen: string[] = []
-    while (chosen.length < PROBED_SERVERS && candidates.length > 0) {
-      chosen.push(...candidates.splice(Math.floor(this.context.random.next() * candidates.length), 1))
+  /** @returns whether any of the servers accepts a connection, as soon as one does */
+  private probeAny (addresses: readonly string[]): Promise<boolean> {
+    return new Promise(resolve => {
+      const probes = addresses.map(async address => {
+        if (await this.context.probe(address)) resolve(true)
+      })
+      void Promise.all(probes).then(() => resolve(false))
+    })
+  }
+
+  /** @returns the servers in random order, the one that failed last */
+  private orderAddresses (failedAddress: string | undefined): string[] {
+    const candidates = [...new Set(this.context.listAddresses())].filter(address => address !== failedAddress)
+    const ordered: string[] = []
+    while (candidates.length > 0) {
+      ordered.push(...candidates.splice(Math.floor(this.context.random.next() * candidates.length), 1))
     }
-    return chosen
+    return failedAddress === undefined ? ordered : [...ordered, failedAddress]
   }
 
   private set (isReachable: boolean): void {
--- a/test/reachability.test.ts
+++ b/test/reachability.test.ts
@@ -3,7 +3,7 @@
 import { SeededRandom } from '../src/base/index.js'
 import { Reachability } from '../src/forward/index.js'
 
-const ADDRESSES = ['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1']
+const ADDRESSES = Array.from({ length: 12 }, (_, index) => `10.0.0.${index}:1`)
 
 describe('whether a host can reach servers', () => {
   let now = 0
@@ -34,7 +34,17 @@
     reachable = new Set()
     expect(await reachability.verify(ADDRESSES[0]!)).toEqual(false)
     expect(changes).toEqual([false])
-    expect(probed.includes(ADDRESSES[0]!)).toEqual(false)
+    expect(probed.slice(-1)).toEqual([ADDRESSES[0]!])
+  })
+
+  // Guards against: a host that reaches few of the servers went back and forth between its own paths and other hosts.
+  it('is true while any of many servers accepts connections', async () => {
+    reachable = new Set(ADDRESSES.slice(11))
+    for (let i = 0; i < 20; i++) {
+      now += 1_000
+      expect(await reachability.verify(ADDRESSES[0]!)).toEqual(true)
+    }
+    expect(changes).toEqual([])
   })
 
   it('is true while another server accepts connections', async () => {
@@ -53,7 +63,7 @@
   it('is checked once for requests that fail together', async () => {
     reachable = new Set()
     await Promise.all([0, 1, 2].map(index => reachability.verify(ADDRESSES[index]!)))
-    expect(probed.length).toEqual(3)
+    expect(probed.length).toEqual(ADDRESSES.length)
   })
 
   it('is checked while requests are unanswered and no server sends anything', async () => {
@@ -73,7 +83,7 @@
     reachable = new Set()
     await reachability.verify(ADDRESSES[0]!)
     reachability.tick()
-    expect(probed.length).toEqual(3)
+    expect(probed.length).toEqual(ADDRESSES.length)
     reachable = new Set(ADDRESSES)
     now += 500
     reachability.tick()
