--- a/src/relay/paths.ts
+++ b/src/relay/paths.ts
@@ -10,7 +10,7 @@
    */
   constructor (
     private readonly direct: Transport,
-    private readonly reachability: Reachability,
+    private readonly reachability: Pick<Reachability, 'canReachServers' | 'tick'>,
     private readonly relays: RelayPool
   ) {}
 
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -3,7 +3,7 @@
 import { Dispatcher, Gossip, Hub } from '../src/dispatch/index.js'
 import { type BackendServer, Fleet } from '../src/fleet/index.js'
 import {
-  BufferBudget, ConnectionPool, DirectTransport, type HeaderNames, Ingress, probeConnection, Reachability
+  BufferBudget, ConnectionPool, DirectTransport, type HeaderNames, Ingress, type Paths, probeConnection, Reachability
 } from '../src/forward/index.js'
 import { Deployment, type DeploymentParts, QuotaUnit, RetrySafety, type Route } from '../src/routing/index.js'
 import { Scheduler } from '../src/schedule/index.js'
@@ -79,11 +79,15 @@
   readonly fleet = new Fleet()
   isClosing = false
   isAccepting = true
+  /** How requests reach the servers; over own connections if undefined. */
+  paths: Paths | undefined
+  retryLimits = WIDE_LIMITS.retries
+  retrySlackShare = 1
   readonly log = new RecordedLog()
   private readonly lifecycle = new Lifecycle()
   private readonly clock = new MonotonicClock()
   private readonly scheduler = new Scheduler(WIDE_LIMITS)
-  private readonly servers: BackendServer[] = []
+  readonly servers: BackendServer[] = []
   private port = 0
 
   static async start (
@@ -124,8 +128,8 @@
 
   async listen (currentDeployment: Deployment): Promise<void> {
     const hub = new Hub(this.scheduler, new Gossip([], this.clock, () => undefined), this.clock)
-    const dispatcher = new Dispatcher(this.clock, WIDE_LIMITS.retries)
-    dispatcher.retrySlackShare = 1
+    const dispatcher = new Dispatcher(this.clock, this.retryLimits)
+    dispatcher.retrySlackShare = this.retrySlackShare
     dispatcher.switchScheduler(hub.connect('h', reply => dispatcher.handleReply(reply)))
     const random = new SeededRandom(1)
     const reachability = new Reachability({
@@ -143,7 +147,9 @@
       headerNames: HEADER_NAMES,
       dataCentre: 'd',
       fleet: this.fleet,
-      paths: { choose: () => direct, chooseOther: () => Promise.resolve(undefined), tick: () => reachability.tick() },
+      paths: this.paths ?? {
+        choose: () => direct, chooseOther: () => Promise.resolve(undefined), tick: () => reachability.tick()
+      },
       bufferBudget: new BufferBudget(),
       dispatcher,
       clock: this.clock,
