Stop counting a relayed request once its caller is gone

Cause: if the host that has the request stops reading, the generator that sends it the response is never resumed, and its cleanup did not run. The request at the server was aborted, but the host counted it as running for good, so that it would have waited for it when it stops.

--- a/src/relay/service.ts
+++ b/src/relay/service.ts
@@ -48,14 +48,17 @@
     if (signal.aborted) return
     const request = new RelayedRequest(this.context, server, decodeRequest(message, remainingMs))
     this.requests.add(request)
-    const abort = (): void => request.abort()
+    // If the other host stops reading, the generator may never be resumed.
+    const abort = (): void => {
+      request.abort()
+      this.requests.delete(request)
+    }
     signal.addEventListener('abort', abort)
     try {
       yield * request.events
     } finally {
       signal.removeEventListener('abort', abort)
-      request.abort()
-      this.requests.delete(request)
+      abort()
     }
   }
 }
