Start the hosts and servers of process tests in one place

Tests only: unlinkedhost.test.ts and stalledconnections.test.ts set up the same hosts, servers and store.

--- /dev/null
+++ b/test/hostfleet.ts
@@ -0,0 +1,131 @@
+import { mkdtempSync, rmSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { request } from 'undici'
+import { RowsStandin } from '../standins/rows.js'
+import { type HostProcess, isReady, killHostProcess, startHostProcess, waitFor } from './hostprocess.js'
+import { respond, type Script, ScriptedServer } from './scriptedserver.js'
+
+const SERVERS = 3
+
+/** Name of the one service. */
+const SERVICE = 's'
+
+export async function sleep (ms: number): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, ms))
+}
+
+/** Header lines of a server's response to a request, given its raw text. */
+export function answerHeaders (text: string): string[] {
+  const id = /attempt-id: (\w+)/i.exec(text)?.[1] ?? ''
+  return [`Attempt-Id: ${id}`, 'Response-Signature: s']
+}
+
+/** A server that answers each request after a short time. */
+export const answer: Script = (text, _, socket) => {
+  setTimeout(() => respond(socket, '200 OK', 'ok', answerHeaders(text)), 20)
+}
+
+/** Processes of severable hosts before scripted servers of one service, with a store. */
+export class HostFleet {
+  private readonly directory = mkdtempSync(join(tmpdir(), 'marigoldvalve-'))
+  readonly hosts: HostProcess[] = []
+  readonly servers: ScriptedServer[] = []
+  private lastAttempt = 0
+
+  private constructor (readonly store: RowsStandin) {}
+
+  /**
+   * @param hostCount - number of hosts
+   * @param firstPort - first port of the first host; fixed, since the settings name every port, as on the platform
+   * @param script - what the servers do
+   * @param kinds - retry safety of the routes as the platform names it; each is the prefix of its route
+   */
+  static async start (
+    hostCount: number, firstPort: number, script: Script, kinds: readonly string[]
+  ): Promise<HostFleet> {
+    const fleet = new HostFleet(await RowsStandin.start())
+    const { store, servers, hosts, directory } = fleet
+    for (let index = 0; index < SERVERS; index++) {
+      servers.push(await ScriptedServer.start(script))
+      fleet.putServer(index, 'ready')
+    }
+    fleet.putConfig(1, kinds.map(kind => ({ prefix: `/${kind}/`, kind })))
+    for (let index = 0; index < hostCount; index++) {
+      hosts.push(startHostProcess({
+        directory, index, firstPort, storeAddress: store.address, budgetSlack: 50, isFirstStart: true, isSeverable: true
+      }))
+    }
+    for (const host of hosts) await waitFor(() => isReady(host))
+    return fleet
+  }
+
+  /** Addresses of all servers. */
+  get serverAddresses (): string[] {
+    return this.servers.map(({ address }) => address)
+  }
+
+  /** Writes the entry of a server. */
+  putServer (index: number, state: string): void {
+    const { address } = this.servers[index]!
+    this.store.put('servers', `i-${index}`, {
+      service: SERVICE, address, zone: 'z', version: 'v1', slots: 8, state, born: 1
+    })
+  }
+
+  /** Writes a configuration. */
+  putConfig (version: number, routes: ReadonlyArray<{ readonly prefix: string, readonly kind: string }>): void {
+    this.store.put('op', 'config', {
+      version,
+      routes: routes.map(({ prefix, kind }) => ({
+        name: prefix,
+        host: 'a.example',
+        prefix,
+        kind,
+        timeout_ms: 1500,
+        target_latency_ms: 300,
+        service: SERVICE,
+        max_attempts: 2,
+        public: true
+      })),
+      services: [{ name: SERVICE, max_connections: 100 }],
+      tenants: [],
+      limits: { max_header_bytes: 16384, max_body_bytes: 10000, header_timeout_ms: 3000, idle_timeout_ms: 5000 }
+    })
+  }
+
+  /** Sends requests to a host at a steady rate; returns their statuses, 0 for those without one. */
+  async callAtRate (host: HostProcess, prefix: string, count: number, intervalMs: number): Promise<number[]> {
+    const statuses: Array<Promise<number>> = []
+    for (let i = 0; i < count; i++) {
+      statuses.push(this.call(host, prefix))
+      await sleep(intervalMs)
+    }
+    return await Promise.all(statuses)
+  }
+
+  /** Sends requests to all hosts at a steady rate; returns their statuses by host. */
+  callAll (prefix: string, count: number, intervalMs: number): Promise<number[][]> {
+    return Promise.all(this.hosts.map(host => this.callAtRate(host, prefix, count, intervalMs)))
+  }
+
+  async close (): Promise<void> {
+    for (const host of this.hosts) await killHostProcess(host)
+    for (const server of this.servers) server.close()
+    this.store.close()
+    rmSync(this.directory, { recursive: true })
+  }
+
+  private async call (host: HostProcess, prefix: string): Promise<number> {
+    this.lastAttempt++
+    try {
+      const { statusCode, body } = await request(`http://${host.callerAddress}${prefix}1`, {
+        headers: { host: 'a.example', 'attempt-id': `a${this.lastAttempt}`, 'deadline-ms': '1500' }
+      })
+      await body.dump()
+      return statusCode
+    } catch {
+      return 0
+    }
+  }
+}
--- a/test/hostprocess.ts
+++ b/test/hostprocess.ts
@@ -51,7 +51,7 @@
     'quota_overshoot = 0.1', 'quota_slack = 1000', 'exposure_share = 0.1', 'exposure_slack = 50',
     '[platform]', `address = "${storeAddress}"`
   ].join('\n'))
-  const env = { ...process.env, MARIGOLDVALVE_CONFIG: settings }
+  const env = { ...process.env, MARIGOLDVALVE_CONFIG: settings, SEVERABLE_IP: `127.0.0.${index + 2}` }
   const { isSeverable = false } = spec
   const preload = isSeverable ? ['--require', './test/severedsockets.cjs'] : []
   const child = spawn(process.execPath, [...preload, 'target/marigoldvalve.cjs'], {
--- a/test/severedsockets.cjs
+++ b/test/severedsockets.cjs
@@ -4,6 +4,9 @@
  */
 const { Socket } = require('node:net')
 
+/** Tells servers apart which host a connection is from, since all hosts of a test run on one address. */
+const localAddress = process.env.SEVERABLE_IP
+
 const sockets = new Set()
 const state = { mode: undefined, ports: new Set() }
 const connect = Socket.prototype.connect
@@ -30,6 +33,8 @@
     this.severablePort = port
     sockets.add(this)
     this.once('close', () => sockets.delete(this))
+    const options = Array.isArray(args[0]) ? args[0][0] : args[0]
+    if (options.localAddress === undefined) options.localAddress = localAddress
     return connect.apply(this, args)
   }
   this.connecting = true
