Roll back versions whose speed stays in doubt

Change: the canary's jobs go to its servers in turn while the migration runs. Speeds are compared by the likelihood of the canary's speeds under a slowdown of one and of three, given the distribution of the stable servers' engines (of a known kind, or any): 1,000 to 1 for slow, on a route or in total, ends the migration; 250 to 1 for fast (16 for a single server) completes it; else it is rolled back, and the log says why.

--- a/src/gateway/migrationcontroller.ts
+++ b/src/gateway/migrationcontroller.ts
@@ -182,7 +182,8 @@
     const written = await this.platform.store.write([write])
     this.nextWriteAt.set(service, now + RETRY_PAUSE_MS)
     const reason = written.isErr() ? written.error.message : undefined
-    this.log.info({ event: 'move-reported', ...report, reason }, 'move-reported')
+    const { doubt } = this.migrations.getLatest(service, now) ?? {}
+    this.log.info({ event: 'move-reported', ...report, reason, doubt }, 'move-reported')
     if (written.isErr()) return
     const { value: revision } = written
     this.reports.set(service, { report, revision, key: write.key, storedRevision: revision, isLost: false })
--- a/src/migration/analysis.ts
+++ b/src/migration/analysis.ts
@@ -47,6 +47,11 @@
     return false
   }
 
+  /** Whether the canary is so fast that it can't be a version several times as slow as the stable ones. */
+  get isSlowRuledOut (): boolean {
+    return this.speeds.isSlowRuledOut
+  }
+
   /**
    * Counts the outcome of a request, and whether it was slow.
    *
@@ -62,7 +67,7 @@
     if (!observation.isFailure) this.compareSpeeds(observation)
     const route = this.routeAnalysis(observation.route)
     const isSlow = observation.latencyMs !== undefined &&
-      route.latencies.record(observation.server, observation.isCanary, observation.latencyMs)
+      route.latencies.record(observation.server, observation.latencyMs)
     const side = observation.isCanary ? 'canary' : 'stable'
     for (const counts of [route[side], this.total[side]]) {
       counts.responses++
--- a/src/migration/migration.ts
+++ b/src/migration/migration.ts
@@ -36,6 +36,8 @@
   stage: MigrationStage = MigrationStage.running
   private readonly exposure: CanaryExposure
   private readonly analysis = new CanaryAnalysis()
+  /** Number of jobs that each server of the canary got. */
+  private readonly grantsByCanary = new Map<string, number>()
 
   /**
    * @param order - the operator's order
@@ -67,8 +69,7 @@
     if (this.stage === MigrationStage.completed) return [Side.canary]
     if (this.stage === MigrationStage.rolledBack) return [Side.stable]
     if (!this.exposure.hasBudget) return [Side.stable]
-    const isSwitchDue = now >= this.dueAt - SWITCH_WINDOW_MS && endsAt > this.decisionAt &&
-      this.analysis.healthyResponses >= MIN_HEALTHY_RESPONSES
+    const isSwitchDue = now >= this.dueAt - SWITCH_WINDOW_MS && endsAt > this.decisionAt && this.hasProvedHealthy
     return isSwitchDue || this.exposure.isCanaryDue(route) ? [Side.canary, Side.stable] : [Side.stable]
   }
 
@@ -85,9 +86,22 @@
    *
    * @param route - name of the job's route
    * @param side - the side that the server belongs to
+   * @param server - id of the server
    */
-  recordGrant (route: string, side: Side): void {
+  recordGrant (route: string, side: Side, server: string): void {
     this.exposure.record(route, side === Side.canary)
+    if (side === Side.canary) this.grantsByCanary.set(server, this.grantsOf(server) + 1)
+  }
+
+  /**
+   * @param servers - ids of servers that run the version to migrate to
+   * @returns those that got the fewest jobs, to which the next one goes so that all of them are compared; all of them
+   *   once the migration has ended
+   */
+  leastUsed (servers: readonly string[]): readonly string[] {
+    if (this.stage !== MigrationStage.running) return servers
+    const fewest = Math.min(...servers.map(server => this.grantsOf(server)))
+    return servers.filter(server => this.grantsOf(server) === fewest)
   }
 
   /**
@@ -109,8 +123,21 @@
    */
   tick (now: number): void {
     if (this.stage !== MigrationStage.running || now < this.decisionAt) return
-    this.stage = this.analysis.healthyResponses >= MIN_HEALTHY_RESPONSES
-      ? MigrationStage.completed
-      : MigrationStage.rolledBack
+    this.stage = this.hasProvedHealthy ? MigrationStage.completed : MigrationStage.rolledBack
+  }
+
+  /** Why the migration would be rolled back; undefined if the canary has proved healthy. */
+  get doubt (): string | undefined {
+    if (this.analysis.isCanaryWorse) return 'worse'
+    if (this.analysis.healthyResponses < MIN_HEALTHY_RESPONSES) return 'too-few-responses'
+    return this.analysis.isSlowRuledOut ? undefined : 'speed-in-doubt'
+  }
+
+  private get hasProvedHealthy (): boolean {
+    return this.doubt === undefined
+  }
+
+  private grantsOf (server: string): number {
+    return this.grantsByCanary.get(server) ?? 0
   }
 }
--- a/src/migration/speedcomparison.ts
+++ b/src/migration/speedcomparison.ts
@@ -1,18 +1,30 @@
-/** Number of recent samples of a server on a route of which the median is taken. */
+import { EngineSpeeds } from './enginespeeds.js'
+import { mean } from './mean.js'
+
+/** Number of recent samples of a server on a route that are compared. */
 const MAX_SAMPLES = 15
 
 /** Passes over servers and routes to fit their factors; the fit changes by less than a percent after these. */
 const FIT_PASSES = 6
 
-/** The canary is slower if its servers take this many times as long on average as the stable ones ... */
-const MEAN_FACTOR = 2
+/** Canary responses without which the canary is not judged. */
+const MIN_CANARY_SAMPLES = 6
 
-/** ... and its fastest server this many times as long as the fastest stable one. */
-const FASTEST_FACTOR = 2.5
+/** A version this many times as slow as the stable ones must not be taken for as fast. */
+const SLOW_FACTOR = 3
 
-/** Canary responses, and servers of each side if the side has so many, without which the canary is not judged. */
-const MIN_CANARY_SAMPLES = 6
-const MIN_SERVERS = 2
+/**
+ * How many times as likely the canary's speeds must be for a slow version than for one as fast as the stable ones to
+ * end the migration at once. High, since the comparison is repeated after each response.
+ */
+const SLOW_RATIO = 1_000
+
+/**
+ * How many times as likely they must be for a version as fast as the stable ones to complete the migration: a slow one
+ * reaches this in fewer draws of its engines than one in so many. One server alone can't reach more than the second.
+ */
+const FAST_RATIO = 250
+const FAST_RATIO_PER_SERVER = 16
 
 interface ServerSamples {
   readonly isCanary: boolean
@@ -20,11 +32,14 @@
   readonly logsByRoute: Map<string, number[]>
 }
 
-/** Median of the logarithms of one server's latencies on one route. */
+/** Recent latencies of one server on one route. */
 interface Cell {
   readonly server: string
   readonly route: string
+  readonly isCanary: boolean
+  /** Mean of their logarithms. */
   readonly log: number
+  readonly samples: number
 }
 
 /**
@@ -34,7 +49,6 @@
  */
 export class SpeedComparison {
   private readonly servers = new Map<string, ServerSamples>()
-  private canarySamples = 0
 
   /**
    * Adds the latency of one response.
@@ -46,7 +60,6 @@
    */
   record (route: string, server: string, isCanary: boolean, latencyMs: number): void {
     if (latencyMs <= 0) return
-    if (isCanary) this.canarySamples++
     let samples = this.servers.get(server)
     if (samples === undefined) {
       samples = { isCanary, logsByRoute: new Map() }
@@ -58,34 +71,64 @@
     if (logs.length > MAX_SAMPLES) logs.shift()
   }
 
-  /** Whether the canary is slower than the servers' differences in speed explain. */
+  /** Whether the canary is slower than the servers' differences in speed explain, on one route or in total. */
   get isCanarySlower (): boolean {
-    if (this.canarySamples < MIN_CANARY_SAMPLES) return false
-    const factors = this.fitServerFactors()
+    const cells = this.cells()
+    const routes = new Set(cells.map(({ route }) => route))
+    return [cells, ...[...routes].map(route => cells.filter(cell => cell.route === route))]
+      .some(each => (this.compareSides(each)?.logRatio ?? 0) < -Math.log(SLOW_RATIO))
+  }
+
+  /**
+   * Whether the canary's speeds are far more likely for a version as fast as the stable ones than for a slow one. With
+   * few servers on either side chance alone may make their engines unlike, and many versions stay in doubt.
+   */
+  get isSlowRuledOut (): boolean {
+    const cells = this.cells()
+    if (cells.every(({ isCanary }) => isCanary)) return true
+    const comparison = this.compareSides(cells)
+    if (comparison === undefined) return false
+    return comparison.logRatio > Math.log(Math.min(FAST_RATIO, FAST_RATIO_PER_SERVER ** comparison.canaryServers))
+  }
+
+  /**
+   * @param cells - the cells to compare
+   * @returns the logarithm of how many times as likely the canary's speeds are for a version as fast as the stable ones
+   *   than for a slow one, and the number of its servers; undefined if there are too few samples
+   */
+  private compareSides (
+    cells: readonly Cell[]
+  ): { readonly logRatio: number, readonly canaryServers: number } | undefined {
+    const canaryCells = cells.filter(({ isCanary }) => isCanary)
+    if (canaryCells.reduce((sum, { samples }) => sum + samples, 0) < MIN_CANARY_SAMPLES) return undefined
+    if (canaryCells.length === cells.length) return undefined
+    const factors = fitServerFactors(cells)
+    const canaryServers = new Set(canaryCells.map(({ server }) => server))
     const ofSide = (isCanary: boolean): number[] =>
-      [...factors].filter(([id]) => this.servers.get(id)!.isCanary === isCanary).map(([, factor]) => factor)
+      [...factors].filter(([id]) => canaryServers.has(id) === isCanary).map(([, factor]) => factor)
     const canary = ofSide(true)
-    const stable = ofSide(false)
-    if (canary.length < MIN_SERVERS || stable.length < MIN_SERVERS) return false
-    return mean(canary) - mean(stable) > Math.log(MEAN_FACTOR) &&
-      Math.min(...canary) - Math.min(...stable) > Math.log(FASTEST_FACTOR)
+    const speeds = new EngineSpeeds(ofSide(false))
+    const logRatio = speeds.logLikelihood(canary, 0) - speeds.logLikelihood(canary, Math.log(SLOW_FACTOR))
+    return { logRatio, canaryServers: canary.length }
   }
 
-  /** @returns the logarithm of each server's factor */
-  private fitServerFactors (): Map<string, number> {
-    const cells: Cell[] = []
-    for (const [server, { logsByRoute }] of this.servers) {
-      for (const [route, logs] of logsByRoute) cells.push({ server, route, log: median(logs) })
-    }
-    let serverFactors = new Map<string, number>()
-    for (let pass = 0; pass < FIT_PASSES; pass++) {
-      const routeFactors = meanBy(cells, cell => cell.route, cell => cell.log - (serverFactors.get(cell.server) ?? 0))
-      serverFactors = meanBy(cells, cell => cell.server, cell => cell.log - routeFactors.get(cell.route)!)
-    }
-    return serverFactors
+  private cells (): Cell[] {
+    return [...this.servers].flatMap(([server, { isCanary, logsByRoute }]) => [...logsByRoute].map(([route, logs]) => (
+      { server, route, isCanary, log: mean(logs), samples: logs.length }
+    )))
   }
 }
 
+/** @returns the logarithm of each server's factor */
+function fitServerFactors (cells: readonly Cell[]): Map<string, number> {
+  let serverFactors = new Map<string, number>()
+  for (let pass = 0; pass < FIT_PASSES; pass++) {
+    const routeFactors = meanBy(cells, cell => cell.route, cell => cell.log - (serverFactors.get(cell.server) ?? 0))
+    serverFactors = meanBy(cells, cell => cell.server, cell => cell.log - routeFactors.get(cell.route)!)
+  }
+  return serverFactors
+}
+
 function meanBy (
   cells: readonly Cell[], keyOf: (cell: Cell) => string, valueOf: (cell: Cell) => number
 ): Map<string, number> {
@@ -98,11 +141,3 @@
   }
   return new Map([...sums].map(([key, { total, count }]) => [key, total / count]))
 }
-
-function mean (values: readonly number[]): number {
-  return values.reduce((sum, value) => sum + value, 0) / values.length
-}
-
-function median (values: readonly number[]): number {
-  return [...values].sort((a, b) => a - b)[values.length >> 1]!
-}
--- a/src/schedule/migrations.ts
+++ b/src/schedule/migrations.ts
@@ -76,7 +76,7 @@
     for (const side of sides) {
       const load = side === Side.stable
         ? stable
-        : chooseCheapest(available.filter(each => sideOf(migration, each.server) === side), job, now)
+        : chooseCanary(migration, available.filter(each => sideOf(migration, each.server) === side), job, now)
       if (load !== undefined) return load
     }
     // If no server of the permitted sides exists, any server is better than none, except one of a version that failed.
@@ -94,7 +94,7 @@
    */
   recordGrant (job: Job, server: BackendServer): void {
     const migration = this.migrations.get(server.service)
-    migration?.recordGrant(job.route, sideOf(migration, server))
+    migration?.recordGrant(job.route, sideOf(migration, server), server.id)
   }
 
   /**
@@ -133,3 +133,12 @@
 function sideOf (migration: Migration, server: BackendServer): Side {
   return server.version === migration.order.version ? Side.canary : Side.stable
 }
+
+/** Prefers the servers that got the fewest jobs: the cheapest one alone would show nothing of the others. */
+function chooseCanary (
+  migration: Migration, available: readonly ServerLoad[], job: Job, now: number
+): ServerLoad | undefined {
+  const leastUsed = migration.leastUsed(available.map(({ server }) => server.id))
+  return chooseCheapest(available.filter(({ server }) => leastUsed.includes(server.id)), job, now) ??
+    chooseCheapest(available, job, now)
+}
--- a/test/migration.test.ts
+++ b/test/migration.test.ts
@@ -174,7 +174,7 @@
       for (let now = 0; now < 10_000; now += 10) {
         migration.tick(now)
         const [side] = migration.eligibleSides('r', now + 3_000, now)
-        migration.recordGrant('r', side!)
+        migration.recordGrant('r', side!, side!)
         requests++
         if (side === Side.canary) exposed++
         const outcome = { route: 'r', server: side!, isCanary: side === Side.canary, isFailure: false, isConnectionLoss: false }
