Test this build beside the one in production

While one build replaces another host by host, hosts of both send each other messages and read each other's rows, and nothing checked that.

--- a/test/hostfleet.ts
+++ b/test/hostfleet.ts
@@ -3,7 +3,7 @@
 import { join } from 'node:path'
 import { request } from 'undici'
 import { RowsStandin } from '../standins/rows.js'
-import { type HostProcess, isReady, killHostProcess, startHostProcess, waitFor } from './hostprocess.js'
+import { type HostProcess, isReady, killHostProcess, startHostProcess, stopHostProcess, waitFor } from './hostprocess.js'
 import { respond, type Script, ScriptedServer } from './scriptedserver.js'
 
 const SERVERS = 3
@@ -31,35 +31,57 @@
   private readonly directory = mkdtempSync(join(tmpdir(), 'marigoldvalve-'))
   readonly hosts: HostProcess[] = []
   readonly servers: ScriptedServer[] = []
+  /** Statuses of all requests by the ids of their attempts; 0 for those without one. */
+  readonly statuses = new Map<string, number>()
   private lastAttempt = 0
 
-  private constructor (readonly store: RowsStandin) {}
+  private constructor (readonly store: RowsStandin, private readonly firstPort: number) {}
 
   /**
    * @param hostCount - number of hosts
    * @param firstPort - first port of the first host; fixed, since the settings name every port, as on the platform
    * @param script - what the servers do
    * @param kinds - retry safety of the routes as the platform names it; each is the prefix of its route
+   * @param program - path of the bundled program; that of this build if left out
    */
   static async start (
-    hostCount: number, firstPort: number, script: Script, kinds: readonly string[]
+    hostCount: number, firstPort: number, script: Script, kinds: readonly string[], program?: string
   ): Promise<HostFleet> {
-    const fleet = new HostFleet(await RowsStandin.start())
-    const { store, servers, hosts, directory } = fleet
+    const fleet = new HostFleet(await RowsStandin.start(), firstPort)
+    const { servers, hosts } = fleet
     for (let index = 0; index < SERVERS; index++) {
       servers.push(await ScriptedServer.start(script))
       fleet.putServer(index, 'ready')
     }
     fleet.putConfig(1, kinds.map(kind => ({ prefix: `/${kind}/`, kind })))
-    for (let index = 0; index < hostCount; index++) {
-      hosts.push(startHostProcess({
-        directory, index, firstPort, storeAddress: store.address, budgetSlack: 50, isFirstStart: true, isSeverable: true
-      }))
-    }
+    for (let index = 0; index < hostCount; index++) hosts.push(fleet.startHost(index, true, program))
     for (const host of hosts) await waitFor(() => isReady(host))
     return fleet
   }
 
+  /**
+   * Starts a host again after its process has ended, and waits until it is ready.
+   *
+   * @param index - index of the host
+   * @param program - path of the bundled program; that of this build if left out
+   */
+  async restartHost (index: number, program?: string): Promise<void> {
+    const host = this.startHost(index, false, program)
+    this.hosts[index] = host
+    await waitFor(() => isReady(host))
+  }
+
+  /**
+   * Stops a host as planned and starts it again.
+   *
+   * @param index - index of the host
+   * @param program - path of the bundled program; that of this build if left out
+   */
+  async replaceHost (index: number, program?: string): Promise<void> {
+    await stopHostProcess(this.hosts[index]!)
+    await this.restartHost(index, program)
+  }
+
   /** Addresses of all servers. */
   get serverAddresses (): string[] {
     return this.servers.map(({ address }) => address)
@@ -109,6 +131,12 @@
     return Promise.all(this.hosts.map(host => this.callAtRate(host, prefix, count, intervalMs)))
   }
 
+  /** Index of the host that schedules, as the first host logged it last. */
+  get schedulerIndex (): number {
+    const chosen = this.hosts[0]!.output.match(/"scheduler":"host-(\d)"/g)!.at(-1)!
+    return Number(/host-(\d)/.exec(chosen)![1])
+  }
+
   async close (): Promise<void> {
     for (const host of this.hosts) await killHostProcess(host)
     for (const server of this.servers) server.close()
@@ -116,16 +144,36 @@
     rmSync(this.directory, { recursive: true })
   }
 
+  private startHost (index: number, isFirstStart: boolean, program?: string): HostProcess {
+    const { directory, firstPort, store } = this
+    return startHostProcess({
+      directory,
+      index,
+      firstPort,
+      storeAddress: store.address,
+      budgetSlack: 50,
+      isFirstStart,
+      isSeverable: true,
+      ...(program === undefined ? {} : { program })
+    })
+  }
+
   private async call (host: HostProcess, prefix: string): Promise<number> {
-    this.lastAttempt++
-    try {
-      const { statusCode, body } = await request(`http://${host.callerAddress}${prefix}1`, {
-        headers: { host: 'a.example', 'attempt-id': `a${this.lastAttempt}`, 'deadline-ms': '1500' }
-      })
-      await body.dump()
-      return statusCode
-    } catch {
-      return 0
-    }
+    const id = `a${++this.lastAttempt}`
+    const status = await requestStatus(`http://${host.callerAddress}${prefix}1`, id)
+    this.statuses.set(id, status)
+    return status
+  }
+}
+
+async function requestStatus (url: string, id: string): Promise<number> {
+  try {
+    const { statusCode, body } = await request(url, {
+      headers: { host: 'a.example', 'attempt-id': id, 'deadline-ms': '1500' }
+    })
+    await body.dump()
+    return statusCode
+  } catch {
+    return 0
   }
 }
--- a/test/hostprocess.ts
+++ b/test/hostprocess.ts
@@ -31,6 +31,8 @@
   readonly isFirstStart: boolean
   /** Whether {@link severHost} can cut the process off from ports. */
   readonly isSeverable?: boolean
+  /** Path of the bundled program; that of this build if left out. */
+  readonly program?: string
 }
 
 /**
@@ -52,9 +54,9 @@
     '[platform]', `address = "${storeAddress}"`
   ].join('\n'))
   const env = { ...process.env, MARIGOLDVALVE_CONFIG: settings, SEVERABLE_IP: `127.0.0.${index + 2}` }
-  const { isSeverable = false } = spec
+  const { isSeverable = false, program = 'target/marigoldvalve.cjs' } = spec
   const preload = isSeverable ? ['--require', './test/severedsockets.cjs'] : []
-  const child = spawn(process.execPath, [...preload, 'target/marigoldvalve.cjs'], {
+  const child = spawn(process.execPath, [...preload, program], {
     env, stdio: isSeverable ? ['ignore', 'pipe', 'pipe', 'ipc'] : ['ignore', 'pipe', 'pipe']
   })
   const host = {
@@ -81,6 +83,17 @@
   await ended
 }
 
+/**
+ * Stops a process as planned, and waits until it has ended.
+ *
+ * @param host - the process
+ */
+export async function stopHostProcess (host: HostProcess): Promise<void> {
+  const ended = new Promise(resolve => host.process.once('exit', resolve))
+  host.process.kill('SIGTERM')
+  await ended
+}
+
 /** How a host that is cut off loses its connections. */
 export const Cut = {
   /** Bytes are lost and new connections are never established. */
