Keep a server's limit if a host of an earlier build answers without it

While builds differ, a server in need could get more requests than it states (LIMIT): a host of a build that does not report the limit was taken to show that it had ended, as soon as one of its responses arrived.

Hosts now state a protocol in Hello; builds that state none do not end a limit. A limit that no host has reported for 60 s ends by itself, since all hosts may be of such builds for a while. The state dump shows the protocol of each linked host.

earlierbuilds.test.ts, with the earlier rule in place: "keeps the limit that a server states if such a host does not report it" failed (undefined, not 2); it passes now.

--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -1,10 +1,11 @@
 import type { Clock } from '../base/index.js'
 import type { CrashEvidence } from '../poison/index.js'
-import { type Effect, Outcome, type Scheduler } from '../schedule/index.js'
+import { type Effect, type Job, Outcome, type Scheduler } from '../schedule/index.js'
 import type { ReplyHandler, SchedulerConnection } from './connection.js'
-import type { Ask, RequestLimit } from './dispatch_pb.js'
+import type { Ask, Place, RequestLimit } from './dispatch_pb.js'
 import type { Gossip } from './gossip.js'
 import { createReply, decodeJob, encodeCrashes } from './messages.js'
+import { CURRENT_PROTOCOL, Protocol } from './protocol.js'
 
 /** Shortest time between two reports of crashes to the connected hosts, in milliseconds. */
 const CRASH_REPORT_INTERVAL_MS = 100
@@ -17,6 +18,8 @@
 /** Connects the scheduler of this process to the hosts that use it, which may include this host. */
 export class Hub {
   private readonly replyHandlers = new Map<string, ReplyHandler>()
+  /** Protocols of the connected hosts. */
+  private readonly protocols = new Map<string, number>()
   /** Revision of the crash evidence that the connected hosts have, and when they got it. */
   private reportedCrashes = { revision: 0, at: -Infinity }
 
@@ -40,11 +43,13 @@
    *
    * @param host - the name of the host
    * @param onReply - called with each reply to the host
+   * @param protocol - a value of `Protocol`, which the host states
    * @returns the connection; messages sent on it are ignored once it is closed
    */
-  connect (host: string, onReply: ReplyHandler): SchedulerConnection {
+  connect (host: string, onReply: ReplyHandler, protocol: number = CURRENT_PROTOCOL): SchedulerConnection {
     this.disconnect(host)
     this.replyHandlers.set(host, onReply)
+    this.protocols.set(host, protocol)
     this.onHostsChanged()
     if (this.scheduler.crashes.revision > 0) this.sendCrashes(host)
     return { send: ask => { if (this.replyHandlers.get(host) === onReply) this.handleAsk(host, ask) } }
@@ -61,6 +66,7 @@
     const current = this.replyHandlers.get(host)
     if (current === undefined || (onReply !== undefined && current !== onReply)) return
     this.replyHandlers.delete(host)
+    this.protocols.delete(host)
     const prefix = formatJobId(host, '')
     this.scheduler.dropJobs(id => id.startsWith(prefix))
     this.onHostsChanged()
@@ -71,6 +77,11 @@
     return [...this.replyHandlers.keys()]
   }
 
+  /** @returns the protocols of the hosts that are connected, by name, for a dump */
+  get connectedProtocols (): Readonly<Record<string, number>> {
+    return Object.fromEntries(this.connectedHosts.map(host => [host, this.protocols.get(host)!]))
+  }
+
   /** Sends the version vector of this host, and how long ago the store responded to it, to all connected hosts. */
   broadcastVersionVector (): void {
     for (const host of this.replyHandlers.keys()) {
@@ -113,14 +124,15 @@
     const { body } = ask
     switch (body.case) {
       case 'place': {
-        const effects = this.scheduler.submit(decodeJob(id, body.value, now), now)
+        const effects = this.scheduler.submit(this.decodeJob(host, id, body.value), now)
         this.sendEffects(effects)
         if (!effects.some(effect => effect.job === id)) this.sendReply(host, ask.job, { case: 'waiting', value: {} })
         break
       }
       case 'adopt':
         if (body.value.place === undefined) break
-        this.scheduler.adoptRunningJob(decodeJob(id, body.value.place, now), body.value.server, body.value.started, now)
+        this.scheduler.adoptRunningJob(
+          this.decodeJob(host, id, body.value.place), body.value.server, body.value.started, now)
         break
       case 'started':
       case 'silent':
@@ -147,6 +159,10 @@
     }
   }
 
+  private decodeJob (host: string, id: string, place: Place): Job {
+    return decodeJob(id, place, this.clock.now(), this.protocols.get(host)! >= Protocol.statements)
+  }
+
   /** Handles the messages by which hosts exchange rows. */
   private handleRowAsk (host: string, body: Ask['body']): void {
     switch (body.case) {
--- a/src/dispatch/link.ts
+++ b/src/dispatch/link.ts
@@ -5,6 +5,7 @@
 import type { ReplyHandler, SchedulerConnection } from './connection.js'
 import { type Ask, Dispatch } from './dispatch_pb.js'
 import { createAsk } from './messages.js'
+import { CURRENT_PROTOCOL } from './protocol.js'
 
 /** Messages to which a scheduler replies without delay. */
 const IMMEDIATE_REPLY_CASES: ReadonlySet<Ask['body']['case']> = new Set(['place', 'ping'])
@@ -42,7 +43,7 @@
     this.lastSentAt = clock.now()
     const transport = createGrpcTransport({ baseUrl, sessionManager: this.sessionManager, acceptCompression: [] })
     const client = createClient(Dispatch, transport)
-    this.send(createAsk(0, { case: 'hello', value: { host } }))
+    this.send(createAsk(0, { case: 'hello', value: { host, protocol: CURRENT_PROTOCOL } }))
     void this.receive(client.link(this.outbox))
   }
 
--- a/src/dispatch/listener.ts
+++ b/src/dispatch/listener.ts
@@ -74,7 +74,7 @@
     const handleAsk = (ask: Ask): void => {
       if (ask.body.case === 'hello') {
         host = ask.body.value.host
-        connection = this.hub.connect(host, onReply)
+        connection = this.hub.connect(host, onReply, ask.body.value.protocol)
       } else {
         connection?.send(ask)
       }
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -87,9 +87,10 @@
  * @param id - the job's id, unique over all hosts
  * @param slotRequest - the body of a slot request, with times relative to `now`
  * @param now - the monotonic time of this host, in milliseconds
+ * @param reportsLimits - whether the other host reports limits of requests that servers state
  * @returns the job, with times of this host's monotonic clock
  */
-export function decodeJob (id: string, slotRequest: Place, now: number): Job {
+export function decodeJob (id: string, slotRequest: Place, now: number, reportsLimits: boolean): Job {
   return {
     id,
     service: slotRequest.service,
@@ -109,6 +110,7 @@
     deadlineAt: now + slotRequest.leftMs,
     dataCentre: slotRequest.dataCentre,
     excludedServers: slotRequest.avoided,
+    reportsLimits,
     isRetry: slotRequest.repeat,
     isCharged: slotRequest.charged
   }
--- a/src/forward/slotrequest.ts
+++ b/src/forward/slotrequest.ts
@@ -27,6 +27,7 @@
   return {
     ...slotRequest,
     excludedServers: [...slotRequest.excludedServers, ...context.fleet.statements.listPaused(context.clock.now())],
+    reportsLimits: true,
     route: route.name,
     fingerprint: request.fingerprint,
     sharedPromptParts: request.sharedPromptParts,
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -109,7 +109,7 @@
       isStopping: this.isStopping,
       ...directory.dump(this.clock.now()),
       scheduler: schedulerSelector.schedulerHost,
-      linkedHosts: hub.connectedHosts,
+      linkedHosts: hub.connectedProtocols,
       requests: this.ingress.activeRequestCount,
       paths: this.serverPaths.dump(),
       jobs: this.dispatcher.jobCount,
--- a/src/schedule/job.ts
+++ b/src/schedule/job.ts
@@ -35,6 +35,8 @@
   readonly dataCentre: string
   /** Ids of the servers that the job may not be sent to again. */
   readonly excludedServers: readonly string[]
+  /** Whether its host reports a limit of requests that the server states. */
+  readonly reportsLimits: boolean
   /** Whether the request was sent to a server before, so that the job counts against the retry budget. */
   readonly isRetry: boolean
   /** Whether the units were already taken from the quota. */
--- a/src/schedule/load.ts
+++ b/src/schedule/load.ts
@@ -2,7 +2,7 @@
 import { Health } from './health.js'
 import { type Job, ranksBelow } from './job.js'
 import { ANSWERED, Outcome } from './outcome.js'
-import { RequestLimit } from './requestlimit.js'
+import { LIMIT_RETENTION_MS, RequestLimit } from './requestlimit.js'
 import type { RunningJob } from './runningjob.js'
 import { SpeedEstimate } from './speed.js'
 
@@ -66,7 +66,7 @@
   addJob (job: Job, now: number): void {
     const tokensBefore = this.pendingPromptTokens + job.promptTokens
     this.running.set(job.id, {
-      job, grantedAt: now, tokensBefore, firstEventAt: undefined, isSilent: false, statesLimit: false
+      job, grantedAt: now, tokensBefore, firstEventAt: undefined, isSilent: false, statesLimit: !job.reportsLimits
     })
   }
 
@@ -155,6 +155,7 @@
     if (this.health.isBackingOff(now)) return 0
     const slots = this.health.isProbing ? 1 : Math.max(1, Math.ceil(this.server.slots * share))
     const freeSlots = Math.max(0, slots - this.running.size)
+    if (now - (this.requestLimit?.statedAt ?? now) > LIMIT_RETENTION_MS) this.requestLimit = undefined
     return Math.min(freeSlots, this.requestLimit?.available(share, now) ?? Infinity)
   }
 
--- a/src/schedule/requestlimit.ts
+++ b/src/schedule/requestlimit.ts
@@ -9,6 +9,12 @@
  */
 const MIN_REQUESTS_PER_S = 0.25
 
+/**
+ * Time after which a limit that was not stated again ends, in milliseconds. Servers state it in all responses, but
+ * hosts of an earlier build may not report it.
+ */
+export const LIMIT_RETENTION_MS = 60_000
+
 /**
  * Token bucket for the limit of requests that a server states. It begins empty, since the server may have got requests
  * through another scheduler just before.
--- a/src/schedule/runningjob.ts
+++ b/src/schedule/runningjob.ts
@@ -10,6 +10,6 @@
   firstEventAt: number | undefined
   /** Whether the server was reported as silent for this job. */
   isSilent: boolean
-  /** Whether the response states a limit of requests. */
+  /** Whether the response states a limit of requests, or may do so without this being reported. */
   statesLimit: boolean
 }
--- /dev/null
+++ b/test/earlierbuilds.test.ts
@@ -0,0 +1,64 @@
+import { describe, it } from 'node:test'
+import { expect } from 'earl'
+import { fromBinary } from '@bufbuild/protobuf'
+import { Gossip, Hub, type SchedulerConnection } from '../src/dispatch/index.js'
+import { AskSchema } from '../src/dispatch/dispatch_pb.js'
+import { createAsk, encodeJob, encodeRequestLimit } from '../src/dispatch/messages.js'
+import { Protocol } from '../src/dispatch/protocol.js'
+import { Scheduler } from '../src/schedule/index.js'
+import { LIMIT_RETENTION_MS } from '../src/schedule/requestlimit.js'
+import { job, server } from './jobs.js'
+import { WIDE_LIMITS } from './rig.js'
+import { ManualClock } from './time.js'
+
+const REQUESTS_PER_S = 2
+
+/** Time in which a new limit permits the next request, in milliseconds. */
+const REFILL_MS = 1_000
+
+describe('a scheduler with hosts of an earlier build', () => {
+  const limited = server('a', { slots: 8 })
+
+  /** Connects hosts of both builds to a scheduler that knows a server's limit, and lets one send a request. */
+  function answerWithoutLimit (protocol: number, waitMs: number): number | undefined {
+    const clock = new ManualClock()
+    const scheduler = new Scheduler(WIDE_LIMITS)
+    scheduler.setServers([limited])
+    const hub = new Hub(scheduler, new Gossip([], clock, () => undefined), clock)
+    const current = hub.connect('current', () => undefined)
+    current.send(createAsk(0, encodeRequestLimit(limited, REQUESTS_PER_S)))
+    clock.advance(waitMs)
+    const other = hub.connect('other', () => undefined, protocol)
+    sendRequest(other, clock.now())
+    return scheduler.loads.get(limited.id)!.requestsPerS
+  }
+
+  function sendRequest (host: SchedulerConnection, now: number): void {
+    host.send(createAsk(1, { case: 'place', value: encodeJob(job('1', { arrivedAt: now, deadlineAt: now + 5_000 }), now) }))
+    host.send(createAsk(1, { case: 'started', value: { server: limited.id } }))
+    host.send(createAsk(1, { case: 'ended', value: { server: limited.id, outcome: 'done', stepMs: 20 } }))
+  }
+
+  // Guards against LIMIT while builds differ: a host that does not report a limit was taken to show its end.
+  it('keeps the limit that a server states if such a host does not report it', () => {
+    expect(answerWithoutLimit(Protocol.unstated, REFILL_MS)).toEqual(REQUESTS_PER_S)
+    expect(answerWithoutLimit(Protocol.statements, REFILL_MS)).toEqual(undefined)
+  })
+
+  // Guards against a limit that never ends because only such hosts send requests to the server.
+  it('drops a limit that no host has reported for long', () => {
+    expect(answerWithoutLimit(Protocol.unstated, LIMIT_RETENTION_MS + REFILL_MS)).toEqual(undefined)
+  })
+
+  // Guards against a link that fails at a message of a newer build.
+  it('ignores messages of kinds that it does not know', () => {
+    const clock = new ManualClock()
+    const hub = new Hub(new Scheduler(WIDE_LIMITS), new Gossip([], clock, () => undefined), clock)
+    const host = hub.connect('newer', () => undefined)
+    const unknownKind = 1_000
+    // Tag of a field with a length, the length, and as many bytes.
+    const bytes = Uint8Array.from([0xc2, unknownKind * 8 >> 7 & 0x7f, 1, 0])
+    host.send(fromBinary(AskSchema, bytes))
+    expect(hub.connectedHosts).toEqual(['newer'])
+  })
+})
--- a/test/jobs.ts
+++ b/test/jobs.ts
@@ -28,6 +28,7 @@
     deadlineAt: arrivedAt + 12_000,
     dataCentre: 'd',
     excludedServers: [],
+    reportsLimits: true,
     isRetry: false,
     isCharged: false,
     ...overrides
