--- a/src/migration/analysis.ts
+++ b/src/migration/analysis.ts
@@ -47,9 +47,13 @@
     return false
   }
 
-  /** Whether the canary is so fast that it can't be a version several times as slow as the stable ones. */
-  get isSlowRuledOut (): boolean {
-    return this.speeds.isSlowRuledOut
+  /**
+   * @param canaryServers - number of servers of the canary that got requests
+   * @returns whether the canary is so fast that it can't be a version several times as slow as the stable ones, or its
+   *   speed can't be compared
+   */
+  isSlowRuledOut (canaryServers: number): boolean {
+    return this.speeds.isSlowRuledOut(canaryServers)
   }
 
   /**
--- a/src/migration/migration.ts
+++ b/src/migration/migration.ts
@@ -130,7 +130,7 @@
   get doubt (): string | undefined {
     if (this.analysis.isCanaryWorse) return 'worse'
     if (this.analysis.healthyResponses < MIN_HEALTHY_RESPONSES) return 'too-few-responses'
-    return this.analysis.isSlowRuledOut ? undefined : 'speed-in-doubt'
+    return this.analysis.isSlowRuledOut(this.grantsByCanary.size) ? undefined : 'speed-in-doubt'
   }
 
   private get hasProvedHealthy (): boolean {
--- a/src/migration/speedcomparison.ts
+++ b/src/migration/speedcomparison.ts
@@ -21,10 +21,12 @@
 
 /**
  * How many times as likely they must be for a version as fast as the stable ones to complete the migration: a slow one
- * reaches this in fewer draws of its engines than one in so many. One server alone can't reach more than the second.
+ * reaches this in fewer draws of its engines than one in so many.
  */
 const FAST_RATIO = 250
-const FAST_RATIO_PER_SERVER = 16
+
+/** Servers that each side must have for a comparison: a single one may be of any kind of engine. */
+const MIN_SERVERS = 2
 
 interface ServerSamples {
   readonly isCanary: boolean
@@ -81,14 +83,18 @@
 
   /**
    * Whether the canary's speeds are far more likely for a version as fast as the stable ones than for a slow one. With
-   * few servers on either side chance alone may make their engines unlike, and many versions stay in doubt.
+   * few servers on either side chance alone may make their engines unlike, and many versions stay in doubt. True if a
+   * side has only one server, since nothing could be ruled out then.
+   *
+   * @param canaryServers - number of servers of the canary that got requests, measured or not
    */
-  get isSlowRuledOut (): boolean {
+  isSlowRuledOut (canaryServers: number): boolean {
     const cells = this.cells()
-    if (cells.every(({ isCanary }) => isCanary)) return true
+    const stableServers = new Set(cells.filter(({ isCanary }) => !isCanary).map(({ server }) => server)).size
+    if (canaryServers < MIN_SERVERS || stableServers < MIN_SERVERS) return true
     const comparison = this.compareSides(cells)
-    if (comparison === undefined) return false
-    return comparison.logRatio > Math.log(Math.min(FAST_RATIO, FAST_RATIO_PER_SERVER ** comparison.canaryServers))
+    if (comparison === undefined || comparison.canaryServers < MIN_SERVERS) return false
+    return comparison.logRatio > Math.log(FAST_RATIO)
   }
 
   /**
