Send changes of the store to most hosts from the scheduler

With more than 12 members the first eight in the ranking follow the store. The scheduler sends changes, but no heartbeats, to the hosts that use it: at once, and each second also without any; each ping states what a host has, so that nothing is skipped after a loss. A host follows the store itself again if it was not fed for 2.5 s, and more do while the store does not respond to the scheduling host. Hosts that follow ignore the feed, so that they still notice a store that lags. Builds that do not feed, or state no such protocol, work as before (mixedbuilds.test.ts). A list of a table is applied in the order of revisions, so that a feed sent in between skips nothing.

Ruled out: fewer polls by longer pauses alone, which delay changes; hosts that rely on gossip as it was, which asks for missing rows only after half a second. Failed try: hosts that follow also took the feed, so that they no longer noticed a store that lags (dispatch.test.ts, "send missing rows to a host that the store refuses").

storefeed.test.ts: the policy over fleets of 65 to 1,800 hosts, and random histories of a fed host; fedhosts.test.ts: 16 processes, with losses of the scheduler. Its first case can't pass before this change; the bounds are the users' config_apply_ms.

--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -3,6 +3,7 @@
 import { type Effect, type Job, Outcome, type Scheduler } from '../schedule/index.js'
 import type { ReplyHandler, SchedulerConnection } from './connection.js'
 import type { Ask, Place, RequestLimit } from './dispatch_pb.js'
+import { Feeds } from './feeds.js'
 import type { Gossip } from './gossip.js'
 import { createReply, decodeJob, encodeCrashes } from './messages.js'
 import { CURRENT_PROTOCOL, Protocol } from './protocol.js'
@@ -20,6 +21,7 @@
   private readonly replyHandlers = new Map<string, ReplyHandler>()
   /** Protocols of the connected hosts. */
   private readonly protocols = new Map<string, number>()
+  private readonly feeds: Feeds
   /** Revision of the crash evidence that the connected hosts have, and when they got it. */
   private reportedCrashes = { revision: 0, at: -Infinity }
 
@@ -36,7 +38,9 @@
     private readonly clock: Clock,
     private readonly onHostsChanged: () => void = () => undefined,
     private readonly onServerLeaving: (id: string, born: number) => void = () => undefined
-  ) {}
+  ) {
+    this.feeds = new Feeds(gossip, (host, news) => this.sendReply(host, 0, { case: 'news', value: news }))
+  }
 
   /**
    * Connects a host. An earlier connection of the same host is closed.
@@ -67,6 +71,7 @@
     if (current === undefined || (onReply !== undefined && current !== onReply)) return
     this.replyHandlers.delete(host)
     this.protocols.delete(host)
+    this.feeds.stop(host)
     const prefix = formatJobId(host, '')
     this.scheduler.dropJobs(id => id.startsWith(prefix))
     this.onHostsChanged()
@@ -82,8 +87,12 @@
     return Object.fromEntries(this.connectedHosts.map(host => [host, this.protocols.get(host)!]))
   }
 
-  /** Sends the version vector of this host, and how long ago the store responded to it, to all connected hosts. */
+  /**
+   * Sends the changes of rows to all connected hosts that are fed, and to all the version vector of this host and how
+   * long ago the store responded to it.
+   */
   broadcastVersionVector (): void {
+    this.feeds.feedAll()
     for (const host of this.replyHandlers.keys()) {
       this.sendReply(host, 0, { case: 'pong', value: this.gossip.pong() })
     }
@@ -167,6 +176,7 @@
   private handleRowAsk (host: string, body: Ask['body']): void {
     switch (body.case) {
       case 'ping':
+        if (this.protocols.get(host)! >= Protocol.feed) this.feeds.resume(host, body.value.standing)
         this.sendReply(host, 0, { case: 'pong', value: this.gossip.pong() })
         this.gossip.compare(body.value.standing, behind => this.sendReply(host, 0, { case: 'behind', value: behind }))
         break
--- a/src/dispatch/protocol.ts
+++ b/src/dispatch/protocol.ts
@@ -3,8 +3,10 @@
   /** The host's build states none. It may not report what servers state in their responses. */
   unstated: 0,
   /** It reports each limit of requests that a server states. */
-  statements: 1
+  statements: 1,
+  /** It takes changes of the store's rows from the scheduler that it uses. */
+  feed: 2
 } as const
 
 /** The protocol of this build. */
-export const CURRENT_PROTOCOL = Protocol.statements
+export const CURRENT_PROTOCOL = Protocol.feed
--- a/src/dispatch/selector.ts
+++ b/src/dispatch/selector.ts
@@ -1,16 +1,14 @@
-import { type Clock, Ranking } from '../base/index.js'
+import type { Clock } from '../base/index.js'
 import type { Dispatcher } from './dispatcher.js'
 import type { Reply } from './dispatch_pb.js'
 import type { Gossip } from './gossip.js'
 import type { Hub } from './hub.js'
 import { Link } from './link.js'
 import type { Member } from './member.js'
+import { rankMembers } from './memberranking.js'
 import { createAsk, encodeCrashes } from './messages.js'
 import { StoreCheck } from './storecheck.js'
 
-/** Key under which the members are ranked; all hosts must use the same one to agree on the order. */
-const RANKING_KEY = 'scheduler'
-
 /**
  * A scheduler that has not acknowledged a request for this long is replaced, in milliseconds. Longer than the 100 ms
  * for which a processor core may be paused.
@@ -51,7 +49,7 @@
   private isLocal = false
   /** When and why the last scheduler was lost; undefined once another is selected. */
   private loss: { readonly at: number, readonly reason: string } | undefined
-  private readonly storeCheck = new StoreCheck()
+  readonly storeCheck = new StoreCheck()
   private readonly lastFailureAtByHost = new Map<string, number>()
 
   /**
@@ -81,10 +79,10 @@
    * @param members - all members, including this host if it is one
    */
   setMembers (members: readonly Member[]): void {
-    const byHost = new Map(members.map(member => [member.host, member]))
-    this.rankedMembers = new Ranking(byHost.keys()).top(RANKING_KEY, byHost.size).map(host => byHost.get(host)!)
-      .sort((a, b) => b.cores - a.cores)
-    const updated = this.linkedMember === undefined ? undefined : byHost.get(this.linkedMember.host)
+    this.rankedMembers = rankMembers(members)
+    const rank = this.rankedMembers.findIndex(({ host }) => host === this.host)
+    this.storeCheck.setMembers(rank, this.rankedMembers.length)
+    const updated = this.rankedMembers.find(({ host }) => host === this.linkedMember?.host)
     // The scheduler of a member that was removed stays in use until another one is connected.
     if (this.link !== undefined && updated !== undefined && updated.address !== this.linkedMember?.address) {
       this.link.close('the address of the member changed')
@@ -102,8 +100,16 @@
    * @returns whether another host reveals by gossip the changes that this host's polls of the store miss
    */
   isStoreChecked (now: number): boolean {
-    const rank = this.rankedMembers.findIndex(({ host }) => host === this.host)
-    return this.link !== undefined && this.storeCheck.isLeftToOthers(rank, now)
+    return this.link !== undefined && this.storeCheck.isLeftToOthers(now)
+  }
+
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns whether another host feeds this one with all changes, so that it need not follow the store
+   */
+  isFed (now: number): boolean {
+    const schedulesForOthers = this.isLocal && this.hub.connectedHosts.length > 1
+    return !schedulesForOthers && this.storeCheck.isFollowingLeftToOthers(now)
   }
 
   /** Sends the version vector of this host to the selected host, unless that is this host. */
@@ -125,15 +131,13 @@
   /** Closes the links to other hosts. */
   close (): void {
     this.rankedMembers = []
-    this.connecting?.link.close('this host is stopping')
-    this.link?.close('this host is stopping')
+    for (const link of [this.connecting?.link, this.link]) link?.close('this host is stopping')
   }
 
   private checkLinks (now: number): void {
     const { link } = this
     if (link !== undefined) {
-      const hasQueuedJobs = this.dispatcher.hasQueuedJobs
-      const pingIntervalMs = hasQueuedJobs ? QUEUED_PING_INTERVAL_MS : IDLE_PING_INTERVAL_MS
+      const pingIntervalMs = this.dispatcher.hasQueuedJobs ? QUEUED_PING_INTERVAL_MS : IDLE_PING_INTERVAL_MS
       if (this.dispatcher.longestUnacknowledgedMs(now) > ACK_TIMEOUT_MS) link.close('a request was not acknowledged')
       else if (now - (link.replyDueSince ?? now) > REPLY_TIMEOUT_MS) link.close('no reply arrived in time')
       else if (now - link.lastSentAt > pingIntervalMs) this.ping(link)
@@ -180,6 +184,7 @@
       link.send(createAsk(0, { case: 'news', value: this.gossip.missingRows(body.value) }))
     } else if (body.case === 'news') {
       this.gossip.applyRows(body.value)
+      if (body.value.standing !== undefined) this.storeCheck.recordFeed(this.clock.now())
     } else if (body.case === 'paces') {
       this.hub.scheduler.loads.adoptSpeeds(body.value.paces)
     } else if (body.case === 'crashes') {
@@ -206,8 +211,8 @@
   /** Sends what the previous scheduler knew of crashes, before any job. */
   private handOverCrashes (link: Link): void {
     const { crashes } = this.hub.scheduler
-    if (crashes.revision === 0) return
-    link.send(createAsk(0, { case: 'crashes', value: encodeCrashes(crashes.evidence(this.clock.now())) }))
+    const evidence = encodeCrashes(crashes.evidence(this.clock.now()))
+    if (crashes.revision > 0) link.send(createAsk(0, { case: 'crashes', value: evidence }))
   }
 
   private handleClosed (member: Member, link: Link, reason: string): void {
@@ -234,8 +239,7 @@
   }
 
   private disconnectLocal (): void {
-    if (!this.isLocal) return
+    if (this.isLocal) this.hub.disconnect(this.host)
     this.isLocal = false
-    this.hub.disconnect(this.host)
   }
 }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -36,6 +36,14 @@
 /** How long a removed entry is remembered, in milliseconds, so that changes that arrive late do not restore it. */
 const REMOVED_RETENTION_MS = 60_000
 
+/** What is left of the times in which entries of servers are in doubt, in milliseconds. */
+export interface FleetDoubts {
+  /** For which servers whose entries are removed stay usable, since the store was away. */
+  readonly outageGraceMs: number
+  /** For which servers that were draining or gone stay unusable, since the store has returned from a copy. */
+  readonly copyDoubtMs: number
+}
+
 /** The known backend servers, each as described by its newest entry. */
 export class Fleet {
   /** What servers say of themselves in their responses to this host. */
@@ -67,6 +75,25 @@
     this.doubtUntil = now + COPY_DOUBT_MS
   }
 
+  /**
+   * @param now - monotonic time, in milliseconds
+   * @returns what is left of both times in which entries are in doubt
+   */
+  doubts (now: number): FleetDoubts {
+    return { outageGraceMs: Math.max(0, this.graceUntil - now), copyDoubtMs: Math.max(0, this.doubtUntil - now) }
+  }
+
+  /**
+   * Takes over the times in which entries are in doubt from a host that sends entries; longer ones of this host remain.
+   *
+   * @param doubts - what is left of them
+   * @param now - monotonic time, in milliseconds
+   */
+  extendDoubts ({ outageGraceMs, copyDoubtMs }: FleetDoubts, now: number): void {
+    this.graceUntil = Math.max(this.graceUntil, now + Math.min(outageGraceMs, OUTAGE_GRACE_MS))
+    this.doubtUntil = Math.max(this.doubtUntil, now + Math.min(copyDoubtMs, COPY_DOUBT_MS))
+  }
+
   /**
    * Applies a change unless a newer change of the same entry is known.
    *
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,3 +1,3 @@
 /** The backend servers, as described by their own entries in the store. */
 export { type BackendServer, isSameIncarnation } from './server.js'
-export { Fleet, type FleetChange, OUTAGE_GRACE_MS } from './fleet.js'
+export { Fleet, type FleetChange, type FleetDoubts, OUTAGE_GRACE_MS } from './fleet.js'
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -4,6 +4,8 @@
 import { Fleet } from '../fleet/index.js'
 import type { Deployment } from '../routing/index.js'
 import { CHANGES_PAUSE_MS, Follower, Replica, type Row } from '../store/index.js'
+import type { DirectoryObserver } from './directoryobserver.js'
+import { Followers } from './followers.js'
 import { Membership } from './membership.js'
 import type { Platform } from './platform.js'
 
@@ -13,46 +15,17 @@
  */
 const MEMBERS_PAUSE_MS = 1_000
 
-/** Receives the changes of a directory. */
-export interface DirectoryObserver {
-  deploymentChanged (deployment: Deployment): void
-  serversChanged (): void
-  membersChanged (): void
-
-  /**
-   * Called with each new row of the operators' table that holds no deployment.
-   *
-   * @param row - the row
-   * @returns whether it is an order on which hosts write reports
-   */
-  orderChanged (row: Row): boolean
-
-  /**
-   * Called with each new row of the reports' table.
-   *
-   * @param row - the row
-   */
-  reportChanged (row: Row): void
-
-  /**
-   * Called with the time of each response of the store.
-   *
-   * @param storeMs - monotonic time of the store, in milliseconds
-   */
-  storeClockRead (storeMs: number): void
-}
-
 /** The deployment, the backend servers and the members as this host knows them, from the store and by gossip. */
 export class Directory {
   readonly fleet = new Fleet()
   readonly membership: Membership
   readonly gossip: Gossip
   private readonly replicas: readonly Replica[]
+  private readonly members: Replica
   /** The reports' table; its rows are exchanged by gossip even if this host does not follow it. */
   private readonly reports: Replica
-  private readonly followers = new Map<string, Follower>()
+  private readonly followers = new Followers()
   private isFollowing = false
-  private usesLongPolls = false
   /** Whether the reports' table is to be followed too. */
   private followsReports = false
   private latestDeployment: Deployment | undefined
@@ -75,17 +48,21 @@
   ) {
     const { tables } = platform
     this.membership = new Membership(platform.store, tables.members, self, clock, log)
+    this.members = new Replica(tables.members, row => this.applyMemberRow(row))
     this.replicas = [
       new Replica(tables.operator, row => this.applyOperatorRow(row)),
       new Replica(tables.servers, row => this.applyServerRow(row)),
-      new Replica(tables.members, row => this.applyMemberRow(row))
+      this.members
     ]
     this.reports = new Replica(tables.reports, row => {
       this.observer.reportChanged(row)
       return true
     })
     this.gossip = new Gossip([...this.replicas, this.reports], clock, tables => this.restartFollowers(tables),
-      () => this.storeAgeMs)
+      () => this.storeAgeMs, {
+        read: () => this.fleet.doubts(this.clock.now()),
+        extend: doubts => this.fleet.extendDoubts(doubts, this.clock.now())
+      })
   }
 
   /** The newest deployment, or undefined if none is known yet. */
@@ -100,8 +77,8 @@
 
   /** Time since the store last responded, in milliseconds; undefined if it never did. */
   private get storeAgeMs (): number | undefined {
-    const answeredAt = Math.max(...[...this.followers.values()].map(follower => follower.lastAnsweredAt ?? -Infinity))
-    return answeredAt === -Infinity ? undefined : this.clock.now() - answeredAt
+    const { lastAnsweredAt } = this.followers
+    return lastAnsweredAt === undefined ? undefined : this.clock.now() - lastAnsweredAt
   }
 
   /**
@@ -110,8 +87,23 @@
    * @param usesLongPolls - whether another host reveals changes that this host's polls miss
    */
   setLongPolls (usesLongPolls: boolean): void {
-    this.usesLongPolls = usesLongPolls
-    for (const follower of this.followers.values()) follower.setLongPolls(usesLongPolls)
+    this.followers.setLongPolls(usesLongPolls)
+  }
+
+  /**
+   * Selects whether this host follows the store.
+   *
+   * @param isFed - whether another host sends all changes
+   * @param isWaiting - whether another host may do so soon, so that only the members' table is followed
+   * @returns whether this host has to be fed from its present state on
+   */
+  setFed (isFed: boolean, isWaiting: boolean): boolean {
+    if (isFed || !isWaiting) this.followAll()
+    if (isFed === this.gossip.isFed) return false
+    this.gossip.isFed = isFed
+    this.log.info({ event: 'store-following', isFed }, 'store-following')
+    this.followers.setPaused(isFed)
+    return isFed
   }
 
   /**
@@ -123,7 +115,8 @@
       deployment: this.latestDeployment?.revision,
       servers: this.fleet.listUsable(now),
       members: this.membership.list(),
-      tables: Object.fromEntries([...this.followers].map(([table, follower]) => [table, follower.dump(now)]))
+      isFed: this.gossip.isFed,
+      tables: this.followers.dump(now)
     }
   }
 
@@ -143,33 +136,38 @@
   /** Starts to follow the store, and adds this host to the members. */
   start (): void {
     this.isFollowing = true
-    for (const replica of this.replicas) this.follow(replica)
-    if (this.followsReports) this.follow(this.reports)
+    this.follow(this.members)
     void this.membership.join()
   }
 
   /** Stops following the store. */
   close (): void {
     this.isFollowing = false
-    for (const follower of this.followers.values()) follower.close()
+    this.followers.close()
   }
 
   /** Restarts the followers of tables of which another host has newer rows, since their connections may be stalled. */
   private restartFollowers (tables: readonly string[]): void {
     this.log.warn({ event: 'lagging', tables }, 'lagging')
-    for (const table of tables) this.followers.get(table)?.restart()
+    this.followers.restart(tables)
   }
 
   private follow (replica: Replica): void {
-    const pauseMs = replica.table === this.platform.tables.members ? MEMBERS_PAUSE_MS : CHANGES_PAUSE_MS
+    if (this.followers.has(replica.table)) return
+    const isMembers = replica === this.members
     const follower = new Follower(this.platform.store, replica, {
       storeRecovered: () => this.storeRecovered(replica),
       storeClockRead: storeMs => this.observer.storeClockRead(storeMs),
       eraChanged: () => this.eraChanged(),
-      tableListed: () => { if (replica.table === this.platform.tables.members) this.membership.restoreOwnRow() }
-    }, this.clock, this.log, pauseMs)
-    follower.setLongPolls(this.usesLongPolls)
-    this.followers.set(replica.table, follower)
+      tableListed: () => { if (isMembers) this.membership.restoreOwnRow() }
+    }, this.clock, this.log, isMembers ? MEMBERS_PAUSE_MS : CHANGES_PAUSE_MS)
+    this.followers.add(replica.table, follower)
+  }
+
+  /** Follows the tables that are not followed yet; to be called once the host is known to be fed or not. */
+  private followAll (): void {
+    for (const replica of this.replicas) this.follow(replica)
+    if (this.followsReports) this.follow(this.reports)
   }
 
   /** Follows the reports' table once there is an order; until then, calls to the store for it would be wasted. */
@@ -182,7 +180,7 @@
   /** Entries of servers that the copy lacks are written again within the same time as after an outage. */
   private eraChanged (): void {
     this.fleet.startEra(this.clock.now())
-    for (const follower of this.followers.values()) follower.restart()
+    this.followers.restart()
   }
 
   private storeRecovered (replica: Replica): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,6 +15,7 @@
 import { RetrySlack } from './retryslack.js'
 import { ServerPaths } from './serverpaths.js'
 import type { GatewaySettings } from './settings.js'
+import { StoreFollowing } from './storefollowing.js'
 
 /** Interval of ticks, in milliseconds; well below the half second over which the scheduling limits are checked. */
 const TICK_MS = 25
@@ -43,6 +44,7 @@
   private isRefreshScheduled = false
   private readonly memberEvictor = new MemberEvictor()
   private readonly retrySlack: RetrySlack
+  private readonly storeFollowing: StoreFollowing
 
   /**
    * @param settings - settings of the process
@@ -80,6 +82,7 @@
     this.retrySlack = new RetrySlack(settings.limits.retries.windowMs, clock.now())
     this.schedulerSelector = new SchedulerSelector(host, links.ip, this.hub, this.dispatcher, gossip, clock,
       (scheduler, reason) => log.info({ event: 'scheduler-chosen', scheduler, reason }, 'scheduler-chosen'))
+    this.storeFollowing = new StoreFollowing(this.directory, this.schedulerSelector, settings.isFirstStart, clock.now())
     this.ingress = new Ingress({
       headerNames,
       dataCentre,
@@ -103,10 +106,10 @@
 
   /** @returns the state of this process, for diagnosis by operators */
   dump (): Readonly<Record<string, unknown>> {
-    const { directory, schedulerSelector, hub } = this
+    const { directory, schedulerSelector, hub, isReady, isStopping } = this
     return {
-      isReady: this.isReady,
-      isStopping: this.isStopping,
+      isReady,
+      isStopping,
       ...directory.dump(this.clock.now()),
       scheduler: schedulerSelector.schedulerHost,
       linkedHosts: hub.connectedProtocols,
@@ -178,7 +181,7 @@
       this.publishedAt = now
       if (this.isScheduler) this.hub.publishState()
     }
-    this.directory.setLongPolls(this.schedulerSelector.isStoreChecked(now))
+    this.storeFollowing.tick(now)
     if (this.migrationController.hasOrders) this.migrationController.tick(this.isScheduler, now)
     this.directory.gossip.tick()
     this.schedulerSelector.tick()
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -5,6 +5,7 @@
 import { eraOf } from './revision.js'
 import type { RowBatch } from './row.js'
 import type { Store } from './store.js'
+import type { StoreObserver } from './storeobserver.js'
 
 /**
  * How long the store may hold a call that waits for changes, in milliseconds. A call that is never answered hides all
@@ -38,25 +39,6 @@
 const INITIAL_RETRY_PAUSE_MS = 100
 const MAX_RETRY_PAUSE_MS = 800
 
-/** Receives what a follower learns about the store. */
-export interface StoreObserver {
-  /** Called when a call succeeds after failed ones. */
-  storeRecovered (): void
-
-  /**
-   * Called with the time of each response, before its rows are applied.
-   *
-   * @param storeMs - monotonic time of the store, in milliseconds
-   */
-  storeClockRead (storeMs: number): void
-
-  /** Called when the store has returned from a copy, before the rows of the new era are applied. */
-  eraChanged (): void
-
-  /** Called after a list of the whole table was applied. */
-  tableListed (): void
-}
-
 /** Keeps the replica of one table up to date by polling the store for changes. */
 export class Follower {
   private isRunning = true
@@ -69,6 +51,8 @@
   private calledAt: number
   private answeredAt: number | undefined
   private usesLongPolls = false
+  private isPaused = false
+  private continueRunning: (() => void) | undefined
   /** Era of the latest list; undefined before the first one. */
   private era: number | undefined
 
@@ -126,6 +110,19 @@
     if (!usesLongPolls) this.restart()
   }
 
+  /**
+   * Pauses calls to the store, or resumes them with a list of the table.
+   *
+   * @param isPaused - whether another source keeps the replica up to date
+   */
+  setPaused (isPaused: boolean): void {
+    if (isPaused === this.isPaused) return
+    this.isPaused = isPaused
+    this.revision = undefined
+    this.pollAbort.abort()
+    if (!isPaused) this.continueRunning?.()
+  }
+
   /** Aborts a pending long poll, whose connection may be stalled, and polls again on another connection. */
   restart (): void {
     this.pollAbort.abort()
@@ -135,10 +132,17 @@
   close (): void {
     this.isRunning = false
     this.pollAbort.abort()
+    this.continueRunning?.()
   }
 
   private async run (): Promise<void> {
+    // The follower may be paused right after it was created.
+    await Promise.resolve()
     while (this.isRunning) {
+      if (this.isPaused) {
+        await new Promise<void>(resolve => { this.continueRunning = resolve })
+        continue
+      }
       const pauseMs = this.revision === undefined ? await this.listTable() : await this.readChanges(this.revision)
       if (pauseMs === undefined) {
         const retryPauseMs = Math.min(INITIAL_RETRY_PAUSE_MS * 2 ** (this.failureCount - 1), MAX_RETRY_PAUSE_MS)
--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -11,6 +11,8 @@
   readonly row: Row
   /** When the row was applied, in milliseconds of monotonic time. */
   readonly appliedAt: number
+  /** Revision of the latest change of the row beyond a heartbeat. */
+  changedAt: number
 }
 
 /**
@@ -54,15 +56,28 @@
     const known = this.entries.get(row.key)
     if (eraOf(row.revision) < this.era || (known !== undefined && known.row.revision >= row.revision)) return false
     this.era = eraOf(row.revision)
-    this.entries.set(row.key, { row, appliedAt: now })
+    const entry = { row, appliedAt: now, changedAt: row.revision }
+    this.entries.set(row.key, entry)
     this.highestRevision = Math.max(this.highestRevision, row.revision)
     this.evictRemoved(now)
-    return this.onRow(row)
+    const isChange = this.onRow(row)
+    if (!isChange && known !== undefined) entry.changedAt = known.changedAt
+    return isChange
   }
 
   /**
-   * Applies a list of the whole table. Known rows that are not listed were removed, unless they are newer than the
-   * list.
+   * Records that this copy has all changes up to a revision, apart from heartbeats.
+   *
+   * @param revision - a revision of the table
+   */
+  advance (revision: number): void {
+    this.era = Math.max(this.era, eraOf(revision))
+    this.highestRevision = Math.max(this.highestRevision, revision)
+  }
+
+  /**
+   * Applies a list of the whole table, in the order of revisions. Known rows that are not listed were removed, unless
+   * they are newer than the list.
    *
    * @param rows - all rows of the table
    * @param revision - the store's revision when the table was read
@@ -72,11 +87,11 @@
     if (eraOf(revision) < this.era) return
     this.era = eraOf(revision)
     const listedKeys = new Set(rows.map(row => row.key))
+    for (const row of [...rows].sort((a, b) => a.revision - b.revision)) this.apply(row, now)
     for (const [key, { row }] of this.entries) {
       if (listedKeys.has(key) || row.value === undefined || row.revision > revision) continue
       this.apply({ ...row, value: undefined, revision }, now)
     }
-    for (const row of rows) this.apply(row, now)
   }
 
   /**
@@ -88,6 +103,15 @@
       .sort((a, b) => a.revision - b.revision)
   }
 
+  /**
+   * @param revision - a revision of the table
+   * @returns the rows that have changed since beyond a heartbeat, oldest first
+   */
+  changesAfter (revision: number): Row[] {
+    return [...this.entries.values()].filter(({ changedAt }) => changedAt > revision).map(({ row }) => row)
+      .sort((a, b) => a.revision - b.revision)
+  }
+
   private evictRemoved (now: number): void {
     for (const [key, { row, appliedAt }] of this.entries) {
       if (row.value === undefined && now - appliedAt > REMOVED_RETENTION_MS) this.entries.delete(key)
