Give brittle servers no more than they can hold

Nothing read the header.

While it lasts, shares are rounded down; with less than a slot for each scheduler, all of them together send no more in a second than the server may reject; the number of unanswered requests of the last second stays within N; a rejection is followed by a pause of a second, and a server that has fallen over returns with one request at a time. A response of a job that was granted later and does not say so ends it. Hosts of earlier builds end nothing, and their schedulers ignore the message.

--- a/src/dispatch/dispatcher.ts
+++ b/src/dispatch/dispatcher.ts
@@ -4,7 +4,7 @@
 import type { SchedulerConnection } from './connection.js'
 import type { Reply } from './dispatch_pb.js'
 import type { JobState, Placement, JobHandle } from './jobhandle.js'
-import { createAsk, encodeJob, encodeLeaving, encodeRequestLimit } from './messages.js'
+import { createAsk, encodeBrittleness, encodeJob, encodeLeaving, encodeRequestLimit } from './messages.js'
 import { type LimitObserver, StatedLimits } from './statedlimits.js'
 
 /**
@@ -27,6 +27,9 @@
   /** Limits of requests that servers stated to this host. */
   private readonly statedLimits: StatedLimits
 
+  /** Rejections per second that brittle servers endure, as they stated to this host. */
+  private readonly statedBrittleness = new StatedLimits(() => undefined)
+
   /** Share of the slack of the retry budgets that this host may use, 0 to 1. */
   retrySlackShare = 0
 
@@ -70,6 +73,7 @@
         reportStarted: ignore,
         reportSilent: ignore,
         reportRequestLimit: ignore,
+        reportBrittleness: ignore,
         reportLeaving: ignore,
         reportEnded: ignore,
         withdraw: ignore
@@ -81,6 +85,7 @@
       reportStarted: () => this.reportStarted(state),
       reportSilent: () => this.reportSilent(state),
       reportRequestLimit: (server, requestsPerS) => this.reportRequestLimit(state, server, requestsPerS),
+      reportBrittleness: (server, rejectionsPerS) => this.reportBrittleness(state, server, rejectionsPerS),
       reportLeaving: server => this.reportLeaving(server),
       reportEnded: (outcome, stepMs) => this.reportEnded(state, outcome, stepMs),
       withdraw: () => this.withdraw(state)
@@ -100,8 +105,11 @@
       { organisation, level: balance, ageMs: now - at }
     ))
     if (balances.length > 0) scheduler.send(createAsk(0, { case: 'levels', value: { levels: balances } }))
-    for (const { server, requestsPerS } of this.statedLimits.list()) {
-      scheduler.send(createAsk(0, encodeRequestLimit(server, requestsPerS)))
+    for (const { server, value } of this.statedLimits.list()) {
+      scheduler.send(createAsk(0, encodeRequestLimit(server, value)))
+    }
+    for (const { server, value } of this.statedBrittleness.list()) {
+      scheduler.send(createAsk(0, encodeBrittleness(server, value)))
     }
     for (const server of this.statedLimits.listLeaving()) scheduler.send(createAsk(0, encodeLeaving(server)))
     for (const state of this.jobs.values()) {
@@ -183,6 +191,12 @@
     this.scheduler?.send(createAsk(state.number, encodeRequestLimit(server, requestsPerS)))
   }
 
+  private reportBrittleness (state: JobState, server: BackendServer, rejectionsPerS: number | undefined): void {
+    this.statedBrittleness.record(server, rejectionsPerS, state.requestedAt, this.clock.now())
+    if (rejectionsPerS === undefined) return
+    this.scheduler?.send(createAsk(state.number, encodeBrittleness(server, rejectionsPerS)))
+  }
+
   private reportLeaving (server: BackendServer): void {
     this.statedLimits.recordLeaving(server, this.clock.now())
     this.scheduler?.send(createAsk(0, encodeLeaving(server)))
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -2,7 +2,7 @@
 import type { CrashEvidence } from '../poison/index.js'
 import { type Effect, type Job, Outcome, type Scheduler } from '../schedule/index.js'
 import type { ReplyHandler, SchedulerConnection } from './connection.js'
-import type { Ask, Place, RequestLimit } from './dispatch_pb.js'
+import type { Ask, Place } from './dispatch_pb.js'
 import { Feeds } from './feeds.js'
 import type { Gossip } from './gossip.js'
 import { createReply, decodeJob, encodeCrashes } from './messages.js'
@@ -16,6 +16,9 @@
 /** A host's report on a job that holds a slot. */
 type ProgressReport = Extract<Ask['body'], { case: 'started' | 'silent' | 'ended' }>
 
+/** A host's report on what a server says of itself. */
+type ServerStatement = Extract<Ask['body'], { case: 'requestLimit' | 'brittle' | 'leaving' }>
+
 /** Connects the scheduler of this process to the hosts that use it, which may include this host. */
 export class Hub {
   private readonly replyHandlers = new Map<string, ReplyHandler>()
@@ -149,10 +152,9 @@
         this.handleProgress(id, body, now)
         break
       case 'requestLimit':
-        this.recordRequestLimit(id, body.value, now)
-        break
+      case 'brittle':
       case 'leaving':
-        this.onServerLeaving(body.value.server, body.value.born)
+        this.handleStatement(id, body, now)
         break
       case 'withdraw':
         this.scheduler.withdraw(id, body.value.service, now)
@@ -200,9 +202,14 @@
     }
   }
 
-  private recordRequestLimit (id: string, { server, born, requestsPerS }: RequestLimit, now: number): void {
+  /** Handles what a server says of itself. */
+  private handleStatement (id: string, statement: ServerStatement, now: number): void {
+    const { server, born } = statement.value
     const load = this.scheduler.loads.get(server)
-    if (load?.server.born === born) load.recordRequestLimit(id, requestsPerS, now)
+    if (statement.case === 'leaving') this.onServerLeaving(server, born)
+    if (statement.case === 'leaving' || load?.server.born !== born) return
+    if (statement.case === 'requestLimit') load.recordRequestLimit(id, statement.value.requestsPerS, now)
+    else load.brittleRoom.recordStatement(load.running.get(id), statement.value.rejectionsPerS, now)
   }
 
   private reportCrashes (now: number): void {
--- a/src/dispatch/jobhandle.ts
+++ b/src/dispatch/jobhandle.ts
@@ -22,6 +22,14 @@
    */
   reportRequestLimit (server: BackendServer, requestsPerS: number | undefined): void
 
+  /**
+   * Reports whether the server's response says that it is brittle.
+   *
+   * @param server - the server
+   * @param rejectionsPerS - rejections for want of room that it endures; undefined if it is not brittle
+   */
+  reportBrittleness (server: BackendServer, rejectionsPerS: number | undefined): void
+
   /**
    * Reports that the server says that it leaves.
    *
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -73,6 +73,15 @@
   return { case: 'requestLimit', value: { server: id, born, requestsPerS } }
 }
 
+/**
+ * @param server - a brittle backend server
+ * @param rejectionsPerS - rejections for want of room that it endures
+ * @returns the body of a message to a scheduler
+ */
+export function encodeBrittleness ({ id, born }: BackendServer, rejectionsPerS: number): AskBody {
+  return { case: 'brittle', value: { server: id, born, rejectionsPerS } }
+}
+
 /**
  * @param server - a backend server that leaves
  * @returns the body of a message to a scheduler
--- a/src/dispatch/statedlimits.ts
+++ b/src/dispatch/statedlimits.ts
@@ -9,8 +9,8 @@
 /** A limit that a server states in its responses. */
 export interface StatedLimit {
   readonly server: BackendServer
-  /** Requests per second from all hosts together. */
-  readonly requestsPerS: number
+  /** Requests, or rejections that the server endures, per second from all hosts together. */
+  readonly value: number
   /** When the server last stated it, in milliseconds of monotonic time. */
   readonly statedAt: number
 }
@@ -19,14 +19,14 @@
  * Called when a server states another limit than before.
  *
  * @param server - id of the server
- * @param requestsPerS - the limit; undefined if the server no longer states one
+ * @param value - the limit; undefined if the server no longer states one
  */
-export type LimitObserver = (server: string, requestsPerS: number | undefined) => void
+export type LimitObserver = (server: string, value: number | undefined) => void
 
-/** The limits of requests that servers stated in their responses to this host, and the servers that leave. */
+/** The limits of one kind that servers stated in their responses to this host, and the servers that leave. */
 export class StatedLimits {
   private readonly limits = new Map<string, StatedLimit>()
-  private readonly leaving = new Map<string, Omit<StatedLimit, 'requestsPerS'>>()
+  private readonly leaving = new Map<string, Omit<StatedLimit, 'value'>>()
 
   /** @param onChange - called with each change */
   constructor (private readonly onChange: LimitObserver) {}
@@ -35,17 +35,17 @@
    * Records what a response states.
    *
    * @param server - the server that sent the response
-   * @param requestsPerS - the stated limit; undefined if there is none
+   * @param value - the stated limit; undefined if there is none
    * @param requestedAt - before the request was sent, in milliseconds of monotonic time
    * @param now - monotonic time, in milliseconds
    */
-  record (server: BackendServer, requestsPerS: number | undefined, requestedAt: number, now: number): void {
+  record (server: BackendServer, value: number | undefined, requestedAt: number, now: number): void {
     const known = this.limits.get(server.id)
-    if (requestsPerS !== undefined) this.limits.set(server.id, { server, requestsPerS, statedAt: now })
+    if (value !== undefined) this.limits.set(server.id, { server, value, statedAt: now })
     // A response to an earlier request may have been sent before the limit was first stated.
     else if (known !== undefined && requestedAt > known.statedAt) this.limits.delete(server.id)
     else return
-    if (known?.requestsPerS !== requestsPerS) this.onChange(server.id, requestsPerS)
+    if (known?.value !== value) this.onChange(server.id, value)
     this.evictOld(now)
   }
 
--- a/src/forward/headernames.ts
+++ b/src/forward/headernames.ts
@@ -14,6 +14,8 @@
   readonly notRun: string
   /** Requests per second that a server accepts from all hosts together; set in its responses while it is in need. */
   readonly requestLimit: string
+  /** Rejections for want of room per second that a server endures; set in its responses while it is brittle. */
+  readonly brittleness: string
   /** Set to 1 in responses of a server that leaves. */
   readonly leaving: string
   /** Id of the last event that the caller received. */
--- a/src/forward/recordstatement.ts
+++ b/src/forward/recordstatement.ts
@@ -42,5 +42,6 @@
   context: ForwardContext, job: JobHandle, server: BackendServer, statement: ServerStatement
 ): void {
   job.reportRequestLimit(server, statement.requestsPerS)
+  job.reportBrittleness(server, statement.rejectionsPerS)
   if (recordForHost(context, server, statement, context.clock.now())) job.reportLeaving(server)
 }
--- a/src/forward/serverstatement.ts
+++ b/src/forward/serverstatement.ts
@@ -10,6 +10,8 @@
 export interface ServerStatement {
   /** Requests per second that it accepts from all hosts together; undefined if it states no valid limit. */
   readonly requestsPerS: number | undefined
+  /** Rejections per second for want of room that it endures; undefined if it does not say that it is brittle. */
+  readonly rejectionsPerS: number | undefined
   /** Whether it leaves. */
   readonly isLeaving: boolean
   /** How long it wants no requests from this host, in milliseconds; undefined if it asks for no valid pause. */
@@ -26,6 +28,7 @@
   const pauseS = status === Status.unavailable ? readDecimal(headers, 'retry-after') : undefined
   return {
     requestsPerS: readDecimal(headers, names.requestLimit),
+    rejectionsPerS: readDecimal(headers, names.brittleness),
     isLeaving: findHeader(headers, names.leaving)?.trim() === '1',
     pauseMs: pauseS === undefined ? undefined : pauseS * SECOND_MS
   }
--- a/src/schedule/load.ts
+++ b/src/schedule/load.ts
@@ -1,4 +1,6 @@
 import type { BackendServer } from '../fleet/index.js'
+import { BrittleRoom } from './brittleroom.js'
+import { Brittleness } from './brittleness.js'
 import { Health } from './health.js'
 import { type Job, ranksBelow } from './job.js'
 import { ANSWERED, Outcome } from './outcome.js'
@@ -42,9 +44,15 @@
   readonly health = new Health()
   readonly running = new Map<string, RunningJob>()
   private requestLimit: RequestLimit | undefined
+  readonly brittleRoom: BrittleRoom
 
-  /** @param server - the server as last announced */
-  constructor (public server: BackendServer) {}
+  /**
+   * @param server - the server as last announced
+   * @param brittleness - the state of its service
+   */
+  constructor (public server: BackendServer, brittleness = new Brittleness()) {
+    this.brittleRoom = new BrittleRoom(brittleness)
+  }
 
   /**
    * Grants a slot of the server to a job.
@@ -54,6 +62,7 @@
    */
   grant (job: Job, now: number): void {
     this.requestLimit?.take()
+    this.brittleRoom.recordGrant()
     this.addJob(job, now)
   }
 
@@ -66,7 +75,13 @@
   addJob (job: Job, now: number): void {
     const tokensBefore = this.pendingPromptTokens + job.promptTokens
     this.running.set(job.id, {
-      job, grantedAt: now, tokensBefore, firstEventAt: undefined, isSilent: false, statesLimit: !job.reportsLimits
+      job,
+      grantedAt: now,
+      tokensBefore,
+      firstEventAt: undefined,
+      isSilent: false,
+      statesLimit: !job.reportsLimits,
+      statesBrittleness: !job.reportsLimits
     })
   }
 
@@ -110,6 +125,7 @@
     const wasSilent = run?.isSilent === true
     if (run?.firstEventAt === undefined && ANSWERED.has(outcome)) this.recordResponse(run)
     this.running.delete(jobId)
+    this.brittleRoom.recordOutcome(outcome, now)
     if (outcome !== Outcome.silent || !wasSilent) this.health.recordOutcome(outcome, now)
     if (stepMs !== undefined) this.speed.recordStep(stepMs)
   }
@@ -133,8 +149,9 @@
     return this.requestLimit?.requestsPerS
   }
 
-  /** Ends the limit of requests if the response of a job that was granted after it was last stated states none. */
+  /** Ends what the response of a job does not state, if the job was granted after it was last stated. */
   private recordResponse (run: RunningJob | undefined): void {
+    this.brittleRoom.recordResponse(run)
     if (run === undefined || run.statesLimit || this.requestLimit === undefined) return
     if (run.grantedAt > this.requestLimit.statedAt) this.requestLimit = undefined
   }
@@ -156,7 +173,8 @@
     const slots = this.health.isProbing ? 1 : Math.max(1, Math.ceil(this.server.slots * share))
     const freeSlots = Math.max(0, slots - this.running.size)
     if (now - (this.requestLimit?.statedAt ?? now) > LIMIT_RETENTION_MS) this.requestLimit = undefined
-    return Math.min(freeSlots, this.requestLimit?.available(share, now) ?? Infinity)
+    const brittleRoom = this.brittleRoom.available(this.server.slots, this.running, share, now)
+    return Math.min(freeSlots, brittleRoom, this.requestLimit?.available(share, now) ?? Infinity)
   }
 
   /**
--- a/src/schedule/loads.ts
+++ b/src/schedule/loads.ts
@@ -1,10 +1,13 @@
 import { type BackendServer, isSameIncarnation } from '../fleet/index.js'
+import { Brittleness } from './brittleness.js'
 import { ServerLoad } from './load.js'
 import type { SpeedSummary } from './speed.js'
 
 /** Loads of all backend servers that may get requests. */
 export class ServerLoads {
   private readonly loads = new Map<string, ServerLoad>()
+  /** By service; kept while servers fall over and return. */
+  private readonly brittleness = new Map<string, Brittleness>()
 
   /**
    * Sets the servers that may get requests. A server that restarted begins with an empty state.
@@ -17,7 +20,7 @@
     for (const server of servers) {
       const load = this.loads.get(server.id)
       if (load !== undefined && isSameIncarnation(load.server, server)) load.server = server
-      else this.loads.set(server.id, new ServerLoad(server))
+      else this.loads.set(server.id, new ServerLoad(server, this.brittlenessOf(server.service)))
     }
   }
 
@@ -37,6 +40,12 @@
     return [...this.loads.values()].filter(load => load.server.service === service)
   }
 
+  private brittlenessOf (service: string): Brittleness {
+    const brittleness = this.brittleness.get(service) ?? new Brittleness()
+    this.brittleness.set(service, brittleness)
+    return brittleness
+  }
+
   /** @param isGone - whether the job with an id is no longer running */
   dropJobs (isGone: (id: string) => boolean): void {
     for (const load of this.loads.values()) {
--- a/src/schedule/runningjob.ts
+++ b/src/schedule/runningjob.ts
@@ -12,4 +12,6 @@
   isSilent: boolean
   /** Whether the response states a limit of requests, or may do so without this being reported. */
   statesLimit: boolean
+  /** Whether the response says that the server is brittle, or may do so without this being reported. */
+  statesBrittleness: boolean
 }
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -21,6 +21,7 @@
   serverId: 'x-server',
   notRun: 'x-not-run',
   requestLimit: 'x-request-limit',
+  brittleness: 'x-brittle',
   leaving: 'x-leaving',
   lastEventId: 'x-last-event',
   tokenUsage: 'x-usage',
