--- a/test/messagesamples.ts
+++ b/test/messagesamples.ts
@@ -39,13 +39,15 @@
   { table: 'servers', key: 'server-1', value: new Uint8Array(), removed: true, revision: 13 }
 ]
 
+const FEED = { rows: ROWS, standing: { revisions: [12, 13, 0, 1] }, outageGraceMs: 900, copyDoubtMs: 1_500 }
+
 const CRASHES = {
   crashes: [{ server: 'server-1@1', parts: ['p1'], ageMs: 5 }],
   blocked: [{ part: 'p2', servers: ['server-1@1', 'server-2@1'], ageMs: 6 }]
 }
 
 const ASKS: ReadonlyArray<NonNullable<MessageInitShape<typeof AskSchema>['body']>> = [
-  { case: 'hello', value: { host: 'host-1' } },
+  { case: 'hello', value: { host: 'host-1', protocol: 2 } },
   { case: 'place', value: PLACE },
   { case: 'adopt', value: { place: PLACE, server: 'server-1', started: true } },
   { case: 'started', value: { server: 'server-1' } },
@@ -58,7 +60,8 @@
   { case: 'silent', value: { server: 'server-1' } },
   { case: 'crashes', value: CRASHES },
   { case: 'requestLimit', value: { server: 'server-1', born: 1, requestsPerS: 2.5 } },
-  { case: 'leaving', value: { server: 'server-1', born: 1 } }
+  { case: 'leaving', value: { server: 'server-1', born: 1 } },
+  { case: 'brittle', value: { server: 'server-1', born: 1, rejectionsPerS: 3 } }
 ]
 
 const REPLIES: ReadonlyArray<NonNullable<MessageInitShape<typeof ReplySchema>['body']>> = [
@@ -67,6 +70,7 @@
   { case: 'waiting', value: {} },
   { case: 'pong', value: { standing: { revisions: [12, 13, 0, 1] }, storeAgeMs: 40 } },
   { case: 'news', value: { rows: ROWS } },
+  { case: 'news', value: FEED },
   { case: 'behind', value: { standing: { revisions: [12, 0, 0, 1] } } },
   { case: 'paces', value: { paces: [{ server: 'server-1', tokenMs: 0.01, stepMs: 25 }] } },
   { case: 'crashes', value: CRASHES }
