Ignore malformed numbers in messages between hosts

No build sends such numbers, since headers are parsed strictly; a later one or a broken host may.

earlierbuilds.test.ts, "ignores statements without a number" (0 free slots, not 8) and "ignores feeds without numbers" (newest revision NaN) failed before.

--- a/src/dispatch/gossip.ts
+++ b/src/dispatch/gossip.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../base/index.js'
 import type { FleetDoubts } from '../fleet/index.js'
 import type { Replica, Row } from '../store/index.js'
+import { isAmount } from './amount.js'
 import {
   type Behind, BehindSchema, type News, type NewsRowSchema, NewsSchema, type Pong, PongSchema, type Standing,
   StandingSchema
@@ -105,13 +106,15 @@
    */
   applyRows (news: News): void {
     if (news.standing !== undefined && !this.isFed) return
+    const revisions = news.standing?.revisions ?? []
+    if (![...revisions, news.outageGraceMs, news.copyDoubtMs].every(isAmount)) return
     const now = this.clock.now()
     this.doubts.extend(news)
     for (const { table, key, value, removed, revision } of news.rows) {
       const row: Row = { table, key, value: removed ? undefined : Buffer.from(value), revision }
       this.replicas.find(replica => replica.table === table)?.apply(row, now)
     }
-    this.replicas.forEach((replica, index) => replica.advance(news.standing?.revisions[index] ?? 0))
+    this.replicas.forEach((replica, index) => replica.advance(revisions[index] ?? 0))
   }
 
   /** Requests the missing rows if the store has not delivered them within {@link LAG_GRACE_MS}. */
--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -3,6 +3,7 @@
 import { type Effect, type Job, Outcome, type Scheduler } from '../schedule/index.js'
 import type { ReplyHandler, SchedulerConnection } from './connection.js'
 import type { Ask, Place } from './dispatch_pb.js'
+import { isAmount } from './amount.js'
 import { Feeds } from './feeds.js'
 import type { Gossip } from './gossip.js'
 import { createReply, decodeJob, encodeCrashes } from './messages.js'
@@ -16,8 +17,8 @@
 /** A host's report on a job that holds a slot. */
 type ProgressReport = Extract<Ask['body'], { case: 'started' | 'silent' | 'ended' }>
 
-/** A host's report on what a server says of itself. */
-type ServerStatement = Extract<Ask['body'], { case: 'requestLimit' | 'brittle' | 'leaving' }>
+/** A host's report on how much a server says that it endures. */
+type ServerStatement = Extract<Ask['body'], { case: 'requestLimit' | 'brittle' }>
 
 /** Connects the scheduler of this process to the hosts that use it, which may include this host. */
 export class Hub {
@@ -80,12 +81,12 @@
     this.onHostsChanged()
   }
 
-  /** @returns the names of the hosts that are connected */
+  /** Names of the connected hosts. */
   get connectedHosts (): string[] {
     return [...this.replyHandlers.keys()]
   }
 
-  /** @returns the protocols of the hosts that are connected, by name, for a dump */
+  /** Protocols of the connected hosts, for a dump. */
   get connectedProtocols (): Readonly<Record<string, number>> {
     return Object.fromEntries(this.connectedHosts.map(host => [host, this.protocols.get(host)!]))
   }
@@ -112,11 +113,7 @@
     for (const host of this.replyHandlers.keys()) this.sendReply(host, 0, { case: 'paces', value: { paces: speeds } })
   }
 
-  /**
-   * Adopts what the scheduler in use knows of crashes, since this one may be selected next.
-   *
-   * @param evidence - its crashes and blocked prompt parts
-   */
+  /** @param evidence - what the scheduler in use knows of crashes, since this one may be selected next */
   adoptCrashes (evidence: CrashEvidence): void {
     this.scheduler.crashes.adopt(evidence, this.replyHandlers.size === 0, this.clock.now())
   }
@@ -153,9 +150,11 @@
         break
       case 'requestLimit':
       case 'brittle':
-      case 'leaving':
         this.handleStatement(id, body, now)
         break
+      case 'leaving':
+        this.onServerLeaving(body.value.server, body.value.born)
+        break
       case 'withdraw':
         this.scheduler.withdraw(id, body.value.service, now)
         break
@@ -202,14 +201,13 @@
     }
   }
 
-  /** Handles what a server says of itself. */
   private handleStatement (id: string, statement: ServerStatement, now: number): void {
     const { server, born } = statement.value
     const load = this.scheduler.loads.get(server)
-    if (statement.case === 'leaving') this.onServerLeaving(server, born)
-    if (statement.case === 'leaving' || load?.server.born !== born) return
-    if (statement.case === 'requestLimit') load.recordRequestLimit(id, statement.value.requestsPerS, now)
-    else load.brittleRoom.recordStatement(load.running.get(id), statement.value.rejectionsPerS, now)
+    const perS = statement.case === 'requestLimit' ? statement.value.requestsPerS : statement.value.rejectionsPerS
+    if (load?.server.born !== born || !isAmount(perS)) return
+    if (statement.case === 'requestLimit') load.recordRequestLimit(id, perS, now)
+    else load.brittleRoom.recordStatement(load.running.get(id), perS, now)
   }
 
   private reportCrashes (now: number): void {
--- a/test/earlierbuilds.test.ts
+++ b/test/earlierbuilds.test.ts
@@ -1,11 +1,12 @@
 import { describe, it } from 'node:test'
 import { expect } from 'earl'
-import { fromBinary } from '@bufbuild/protobuf'
+import { create, fromBinary } from '@bufbuild/protobuf'
 import { Gossip, Hub, type SchedulerConnection } from '../src/dispatch/index.js'
-import { AskSchema } from '../src/dispatch/dispatch_pb.js'
-import { createAsk, encodeJob, encodeRequestLimit } from '../src/dispatch/messages.js'
+import { AskSchema, NewsSchema } from '../src/dispatch/dispatch_pb.js'
+import { createAsk, encodeBrittleness, encodeJob, encodeRequestLimit } from '../src/dispatch/messages.js'
 import { Protocol } from '../src/dispatch/protocol.js'
 import { Scheduler } from '../src/schedule/index.js'
+import { Replica } from '../src/store/index.js'
 import { LIMIT_RETENTION_MS } from '../src/schedule/requestlimit.js'
 import { job, server } from './jobs.js'
 import { WIDE_LIMITS } from './rig.js'
@@ -50,6 +51,34 @@
     expect(answerWithoutLimit(Protocol.unstated, LIMIT_RETENTION_MS + REFILL_MS)).toEqual(undefined)
   })
 
+  // Guards against one malformed message after which a service gets nothing: NaN compares as false with everything.
+  it('ignores statements without a number', () => {
+    const clock = new ManualClock()
+    const scheduler = new Scheduler(WIDE_LIMITS)
+    scheduler.setServers([limited])
+    const host = new Hub(scheduler, new Gossip([], clock, () => undefined), clock).connect('host', () => undefined)
+    for (const value of [NaN, Infinity, -1]) {
+      host.send(createAsk(0, encodeRequestLimit(limited, value)))
+      host.send(createAsk(0, encodeBrittleness(limited, value)))
+    }
+    expect(scheduler.loads.get(limited.id)!.freeSlots(1, clock.now())).toEqual(limited.slots)
+  })
+
+  // Guards against one malformed feed after which a host takes no rows, or uses no server during an outage.
+  it('ignores feeds without numbers', () => {
+    const replica = new Replica('t', () => true)
+    const doubts: unknown[] = []
+    const gossip = new Gossip([replica], new ManualClock(), () => undefined, () => undefined, {
+      read: () => ({ outageGraceMs: 0, copyDoubtMs: 0 }), extend: each => doubts.push(each)
+    })
+    gossip.isFed = true
+    for (const value of [NaN, Infinity, -1]) {
+      const standing = { revisions: [value] }
+      gossip.applyRows(create(NewsSchema, { standing, outageGraceMs: value, copyDoubtMs: value }))
+    }
+    expect([replica.newestRevision, doubts]).toEqual([0, []])
+  })
+
   // Guards against a link that fails at a message of a newer build.
   it('ignores messages of kinds that it does not know', () => {
     const clock = new ManualClock()
