Listen to errors of sessions between hosts after they were aborted

What callers would see: all connections of all hosts closed, again and again. One row of the members' table whose address another service has taken over, as addresses are used again, ends the process of every host: the HTTP/1.1 response to a link is a protocol error of HTTP/2, and the session emits it when its socket closes. If the link was closed in between, the library's session manager had stopped listening (it attaches its last listener only to sessions that are not destroyed yet), and an error that nothing listens to ends a Node process.

With a stand-in service at a member's address four of four hosts ended with code 1 within seconds, whenever the service answered (at once, after 1, 395, 400 ms; three of four after 405 ms). Ruled out: the server's side of links, which listens to its sessions.

Change: the session manager of links, relays and peers listens to each session as long as it lives. Nothing is lost: requests of the session fail with the same error.

--- a/src/dispatch/link.ts
+++ b/src/dispatch/link.ts
@@ -1,7 +1,7 @@
 import type { ClientSessionOptions } from 'node:http2'
 import { createClient } from '@connectrpc/connect'
-import { createGrpcTransport, Http2SessionManager } from '@connectrpc/connect-node'
-import { SendQueue } from '../peer/index.js'
+import { createGrpcTransport } from '@connectrpc/connect-node'
+import { SendQueue, SessionManager } from '../peer/index.js'
 import type { ReplyHandler, SchedulerConnection } from './connection.js'
 import { type Ask, Dispatch } from './dispatch_pb.js'
 import { createAsk } from './messages.js'
@@ -13,7 +13,7 @@
 /** A connection to the scheduler of another host. */
 export class Link implements SchedulerConnection {
   private readonly outbox = new SendQueue<Ask>()
-  private readonly sessionManager: Http2SessionManager
+  private readonly sessionManager: SessionManager
   private isOpen = true
   /** Whether the link is open and the other host has replied at least once. */
   isUp = false
@@ -39,7 +39,7 @@
     private readonly onClosed: (reason: string) => void
   ) {
     const baseUrl = `http://${address}`
-    this.sessionManager = new Http2SessionManager(baseUrl, {}, { localAddress: ip } as ClientSessionOptions)
+    this.sessionManager = new SessionManager(baseUrl, {}, { localAddress: ip } as ClientSessionOptions)
     this.lastSentAt = clock.now()
     const transport = createGrpcTransport({ baseUrl, sessionManager: this.sessionManager, acceptCompression: [] })
     const client = createClient(Dispatch, transport)
--- a/src/peer/peers.ts
+++ b/src/peer/peers.ts
@@ -1,11 +1,12 @@
 import type { ClientSessionOptions } from 'node:http2'
 import { type Client, createClient, type Interceptor } from '@connectrpc/connect'
-import { createGrpcTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { createGrpcTransport } from '@connectrpc/connect-node'
 import { ResultAsync } from 'neverthrow'
 import type { PeerFailure } from './failure.js'
 import { toPeerFailure } from './failure.js'
 import { type IncomingBody, LinkClient, type OutgoingBody } from './linkclient.js'
 import { Peer } from './peer_pb.js'
+import { SessionManager } from './sessionmanager.js'
 
 /** A member to call. */
 export interface Callee {
@@ -24,7 +25,7 @@
 interface PeerConnection {
   readonly client: Client<typeof Peer>
   readonly link: LinkClient
-  readonly sessionManager: Http2SessionManager
+  readonly sessionManager: SessionManager
 }
 
 /** Connections to the other members: one for each member, opened on first use. */
@@ -128,7 +129,7 @@
     const baseUrl = `http://${callee.peerAddress}`
     // HTTP/2 pings stay disabled: a ping that times out while its session is being closed ends the process.
     // The probes of the failure detector detect broken connections instead.
-    const sessionManager = new Http2SessionManager(baseUrl, {}, { localAddress: this.ip } as ClientSessionOptions)
+    const sessionManager = new SessionManager(baseUrl, {}, { localAddress: this.ip } as ClientSessionOptions)
     const authenticate: Interceptor = next => async request => {
       request.header.set(KEY_HEADER, this.key)
       return await next(request)
--- a/src/relay/relayhost.ts
+++ b/src/relay/relayhost.ts
@@ -1,10 +1,11 @@
 import type { ClientSessionOptions } from 'node:http2'
 import { type Client, createClient } from '@connectrpc/connect'
-import { createGrpcTransport, Http2SessionManager } from '@connectrpc/connect-node'
+import { createGrpcTransport } from '@connectrpc/connect-node'
 import type { Clock } from '../base/index.js'
 import type { Member } from '../dispatch/index.js'
 import type { BackendServer } from '../fleet/index.js'
 import type { Exchange, OutgoingRequest, ResponseHandler, Transport } from '../forward/index.js'
+import { SessionManager } from '../peer/index.js'
 import { encodeRequest } from './messages.js'
 import { Relay } from './relay_pb.js'
 import { RelayedExchange } from './relayedexchange.js'
@@ -25,7 +26,7 @@
   isUsable = false
   /** Number of requests that it relays for this host. */
   activeCount = 0
-  private sessionManager: Http2SessionManager
+  private sessionManager: SessionManager
   private client: Client<typeof Relay>
   private isAsked = false
   private repliedAt: number
@@ -84,9 +85,9 @@
     this.client = this.createClient()
   }
 
-  private createSessionManager (): Http2SessionManager {
+  private createSessionManager (): SessionManager {
     const options = { localAddress: this.ip } as ClientSessionOptions
-    return new Http2SessionManager(`http://${this.member.address}`, {}, options)
+    return new SessionManager(`http://${this.member.address}`, {}, options)
   }
 
   private createClient (): Client<typeof Relay> {
