--- a/review/rig/system.mjs
+++ b/review/rig/system.mjs
@@ -6,6 +6,7 @@
 import { tmpdir } from 'node:os'
 import { dirname, join, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { StoreProxy } from './storeproxy.mjs'
 
 const HERE = dirname(fileURLToPath(import.meta.url))
 const REPOSITORY = resolve(HERE, '../..')
@@ -134,13 +135,14 @@
     const ports = await freePorts(3)
     const file = join(this.directory, `${name}.toml`)
     const host = { name, ports, front: ports[0], readiness: ports[1], file, output: '', exit: undefined, starts: 0, ends: 0 }
+    host.proxy = await StoreProxy.start(this.store.address)
     this.hosts.push(host)
     this.startProcess(host)
     return host
   }
 
   startProcess (host) {
-    writeFileSync(host.file, settingsOf(host, this.store.address))
+    writeFileSync(host.file, settingsOf(host, host.proxy.address))
     host.starts++
     const [program, ...words] = runLine()
     const { PATH, HOME, LANG } = process.env
@@ -207,6 +209,7 @@
     for (const { child, exit } of this.hosts) if (exit === undefined) child.kill('SIGKILL')
     while (this.hosts.some(({ exit }) => exit === undefined)) await sleep(20)
     for (const server of this.servers) server.close()
+    for (const { proxy } of this.hosts) proxy.close()
     this.store.close()
     rmSync(this.directory, { recursive: true, force: true })
   }
