Do not write a response of the host into a stream that was begun

Callers saw: all requests of a host failed, since its process ended.

Cause: an attempt whose request can't be encoded for the next server sends status 400 without a look at what was sent before. If the first server's stream had begun, Node throws ERR_HTTP_HEADERS_SENT in a microtask, which ends the process. It takes a server whose key no header can hold.

Ruled out: responses of the next server with a status of 300 or more.

Change: FailedResponse sends all final responses of an attempt, those for a used quota and a request that can't be sent included, and ends a begun one.

Paths looked at: Attempt.handleDeliveryEnd, handleRefusal, handleNotRun, tick; RelayedExchange. Ingress.reject answers before an attempt exists.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -82,11 +82,8 @@
       this.cancel()
       if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
       this.fail(Status.gatewayTimeout, 'no answer within the time that the route allows')
-    } else if (this.delivery?.isSilent(now) === true) {
-      this.handleSilence(this.delivery, now)
-    } else {
-      this.slots.tick(now)
-    }
+    } else if (this.delivery?.isSilent(now) === true) this.handleSilence(this.delivery, now)
+    else this.slots.tick(now)
   }
 
   /**
@@ -158,8 +155,7 @@
     else if (outcome === Outcome.unsendable) {
       this.slots.job?.reportEnded(outcome)
       this.log('unsendable', { reason: delivery.failureReason })
-      this.response.sendText(Status.badRequest, 'the request can not be passed on')
-      this.finish()
+      this.fail(Status.badRequest, 'the request can not be passed on')
     } else {
       if (outcome === Outcome.failed) this.failedResponse.serverFailure = result
       this.handleLost(delivery, outcome)
@@ -217,12 +213,8 @@
     this.log('refused', { reason, retryAfterMs })
     if (this.response.isStarted && reason !== Refusal.crashes && this.sendLimit.canRepeat()) {
       this.slots.requestSlotLater(this.context.clock.now())
-    } else if (reason === Refusal.quota && !this.failedResponse.mayHaveRun) {
-      this.response.sendText(Status.tooManyRequests, 'the allowance is used up', retryAfterMs)
-      this.finish()
-    } else {
-      this.fail(Status.unavailable, `no place: ${reason}`, retryAfterMs)
-    }
+    } else if (reason === Refusal.quota) this.fail(Status.tooManyRequests, 'the allowance is used up', retryAfterMs)
+    else this.fail(Status.unavailable, `no place: ${reason}`, retryAfterMs)
   }
 
   /** Finishes the attempt without a successful response from a server. */
--- a/src/forward/failedresponse.ts
+++ b/src/forward/failedresponse.ts
@@ -8,6 +8,9 @@
 /** Retry-After of failed attempts for which the scheduler gave no time, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 500
 
+/** Statuses by which callers know that their request has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([Status.badRequest, Status.tooManyRequests, Status.unavailable])
+
 /** The final response to an attempt for which no server gave a successful one. */
 export class FailedResponse {
   /** Whether a server may have run the request. */
@@ -27,10 +30,10 @@
   ) {}
 
   /**
-   * Sends the final response. Callers take status 503 to mean that the request did not run, so it is sent only if that
-   * is certain.
+   * Sends the final response. Callers take some statuses to mean that the request did not run, so these are sent only
+   * if that is certain.
    *
-   * @param status - the HTTP status if the request may have run
+   * @param status - the HTTP status that describes the failure
    * @param reason - a short explanation
    * @param delivery - the latest send of the request, if any
    * @param retryAfterMs - time after which the caller may retry if the request did not run, in milliseconds
@@ -41,8 +44,9 @@
     const { response, serverFailure: result } = this
     if (response.isStarted) this.cutOff(reason, delivery)
     else if (result !== undefined) response.send(result.status, result.headers, result.body, result.isCloseDelimited)
-    else if (!this.mayHaveRun) response.sendText(Status.unavailable, reason, retryAfterMs)
-    else response.sendText(status === Status.unavailable ? Status.badGateway : status, reason)
+    else if (this.mayHaveRun) response.sendText(NOT_RUN_STATUSES.has(status) ? Status.badGateway : status, reason)
+    else if (status === Status.badRequest) response.sendText(status, reason)
+    else response.sendText(NOT_RUN_STATUSES.has(status) ? status : Status.unavailable, reason, retryAfterMs)
   }
 
   /** Ends a response that was started, without its end. Logged at any level, since its caller gets no status. */
--- a/test/hostfleet.ts
+++ b/test/hostfleet.ts
@@ -108,6 +108,7 @@
         target_latency_ms: 300,
         service: SERVICE,
         max_attempts: 2,
+        resumable: kind === 'streaming',
         public: true
       })),
       services: [{ name: SERVICE, max_connections: 100 }],
