Take no address that can't be connected to, from any row

Cause: addresses were checked by their shape only. `new Client` throws Invalid URL for such a port in the microtask of a slot request, and Socket.connect a RangeError in a check of reachability; nothing handles either. The members' table had no check: a link to such a member throws in the table's follower, which ends the process, or in a tick, the rest of which was then left out.

Change: parseEndpoint is the one check, of servers, members and settings. A row that can't be applied is logged and the others hold; a follower lists its table again; the parts of a tick don't depend on each other; an attempt of which a step fails ends with 502.

Paths looked at: fields and keys of rows in op, servers, members and status; Follower, Replica, Gossip and the observers they call; ServerConnection, probeConnection, Link, RelayHost; the tick and the microtasks of Gateway and Slots.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -51,7 +51,8 @@
     this.sendLimit = new SendLimit(request, context.clock)
     this.slots = new Slots(context, request, chooseService(request.route, context.random.next()), {
       onPlacement: placement => this.handlePlacement(placement),
-      onAlternative: (server, job) => this.leaveSilentServer(server, job)
+      onAlternative: (server, job) => this.leaveSilentServer(server, job),
+      onError: () => this.abandon()
     })
     this.failedResponse = new FailedResponse(context, request, response)
   }
@@ -70,6 +71,14 @@
     this.finish()
   }
 
+  /** Ends the attempt after a step of it failed unexpectedly; it may have been sent by then. */
+  abandon (): void {
+    if (this.isFinished) return
+    this.cancel()
+    this.failedResponse.mayHaveRun = true
+    this.fail(Status.badGateway, 'the request could not be handled')
+  }
+
   /**
    * Fails the attempt if its deadline has passed, and looks for another server if its server is silent.
    *
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import { runSafely } from '../base/index.js'
 import type { CallerLimits, Deployment } from '../routing/index.js'
 import { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerrequest.js'
@@ -85,7 +86,9 @@
    */
   tick (now: number): void {
     this.context.paths.tick()
-    for (const attempt of this.attempts) attempt.tick(now)
+    for (const attempt of this.attempts) {
+      if (!runSafely(this.context.log, { event: 'attempt-failed' }, () => attempt.tick(now))) attempt.abandon()
+    }
   }
 
   /** Stops listening and closes connections that carry no request. */
--- a/src/forward/probe.ts
+++ b/src/forward/probe.ts
@@ -1,4 +1,5 @@
 import { Socket } from 'node:net'
+import { parseEndpoint } from '../base/index.js'
 
 /** Longest time to establish the connection of a probe, in milliseconds; allows for several round trips. */
 const PROBE_TIMEOUT_MS = 250
@@ -10,7 +11,8 @@
  * @returns whether the server accepted the connection in time
  */
 export function probeConnection (address: string): Promise<boolean> {
-  const separator = address.lastIndexOf(':')
+  const endpoint = parseEndpoint(address)
+  if (endpoint === undefined) return Promise.resolve(false)
   const socket = new Socket()
   return new Promise(resolve => {
     const finish = (isEstablished: boolean): void => {
@@ -20,7 +22,6 @@
     socket.once('error', () => finish(false))
     // If the process was busy, the connection may be established already, which it learns before the check.
     socket.setTimeout(PROBE_TIMEOUT_MS, () => setImmediate(() => { if (socket.connecting) finish(false) }))
-    const endpoint = { host: address.slice(0, separator), port: Number(address.slice(separator + 1)) }
-    socket.connect(endpoint, () => finish(true))
+    socket.connect({ host: endpoint.ip, port: endpoint.port }, () => finish(true))
   })
 }
--- a/src/forward/slots.ts
+++ b/src/forward/slots.ts
@@ -1,3 +1,4 @@
+import { runSafely } from '../base/index.js'
 import type { JobHandle, Placement } from '../dispatch/index.js'
 import { Outcome, Refusal } from '../schedule/index.js'
 import type { CallerRequest } from './callerrequest.js'
@@ -30,6 +31,9 @@
    * @returns whether the attempt leaves the silent server for it; otherwise the slot is released
    */
   onAlternative (server: string, job: JobHandle): boolean
+
+  /** Called if the handling of a result failed, which was logged. */
+  onError (): void
 }
 
 /** The slots that one attempt requests and holds. */
@@ -137,10 +141,15 @@
     const { context, request, service, isCharged } = this
     const slotRequest = { service, excludedServers, isRetry, isCharged }
     const job: JobHandle = context.dispatcher.request(buildJob(context, request, slotRequest),
-      placement => queueMicrotask(() => this.handlePlacement(job, placement)))
+      placement => queueMicrotask(() => this.handleSafely(job, placement)))
     return job
   }
 
+  private handleSafely (job: JobHandle, placement: Placement): void {
+    const record = { event: 'placement-failed', attempt: this.request.attemptId, placement }
+    if (!runSafely(this.context.log, record, () => this.handlePlacement(job, placement))) this.listener.onError()
+  }
+
   private handlePlacement (job: JobHandle, placement: Placement): void {
     if (this.isClosed) job.reportEnded(Outcome.cancelled)
     else if (job !== this.alternative) this.listener.onPlacement(placement)
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,5 +1,5 @@
 import type Logger from 'bunyan'
-import type { Clock } from '../base/index.js'
+import { type Clock, runSafely } from '../base/index.js'
 import { Gossip, type Member } from '../dispatch/index.js'
 import { Fleet } from '../fleet/index.js'
 import type { Deployment } from '../routing/index.js'
@@ -50,13 +50,13 @@
   ) {
     const { tables } = platform
     this.membership = new Membership(platform.store, tables.members, self, clock, log)
-    this.members = new Replica(tables.members, row => this.applyMemberRow(row))
+    this.members = this.replicate(tables.members, row => this.applyMemberRow(row))
     this.replicas = [
-      new Replica(tables.operator, row => this.applyOperatorRow(row)),
-      new Replica(tables.servers, row => this.applyServerRow(row)),
+      this.replicate(tables.operator, row => this.applyOperatorRow(row)),
+      this.replicate(tables.servers, row => this.applyServerRow(row)),
       this.members
     ]
-    this.reports = new Replica(tables.reports, row => {
+    this.reports = this.replicate(tables.reports, row => {
       this.observer.reportChanged(row)
       return true
     })
@@ -149,6 +149,16 @@
     this.followers.close()
   }
 
+  /** Creates the local copy of a table. A row that can't be applied is logged, and the others hold. */
+  private replicate (table: string, apply: (row: Row) => boolean): Replica {
+    return new Replica(table, row => {
+      const { key, revision } = row
+      let isChange = true
+      runSafely(this.log, { event: 'row-failed', table, key, revision }, () => { isChange = apply(row) })
+      return isChange
+    })
+  }
+
   /** Restarts the followers of tables of which another host has newer rows, since their connections may be stalled. */
   private restartFollowers (tables: readonly string[]): void {
     this.log.warn({ event: 'lagging', tables }, 'lagging')
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import type Logger from 'bunyan'
-import { type Clock, Lifecycle, SystemRandom, toError } from '../base/index.js'
+import { type Clock, Lifecycle, runSafely, SystemRandom } from '../base/index.js'
 import { Dispatcher, DispatchListener, Hub, SchedulerSelector } from '../dispatch/index.js'
 import { BufferBudget, Ingress } from '../forward/index.js'
 import type { Deployment } from '../routing/index.js'
@@ -136,14 +136,7 @@
     lifecycle.onClose('readiness', () => readiness.close())
     this.directory.start()
     lifecycle.onClose('directory', () => this.directory.close())
-    lifecycle.runEvery('ticks', TICK_MS, () => {
-      try {
-        this.tick()
-      } catch (thrown) {
-        // A failed tick must not end the process; the next one follows after TICK_MS.
-        this.log.error({ event: 'tick-failed', err: toError(thrown) }, 'tick-failed')
-      }
-    })
+    lifecycle.runEvery('ticks', TICK_MS, () => this.tick())
     this.log.info({ event: 'started', callers: settings.callers, dataCentre: settings.dataCentre }, 'started')
   }
 
@@ -177,21 +170,28 @@
 
   private tick (): void {
     const now = this.clock.now()
+    this.runPart('servers', () => this.tickServers(now))
+    this.runPart('following', () => this.storeFollowing.tick(now))
+    this.runPart('migrations', () => this.migrationController.tick(this.isScheduler, now))
+    this.runPart('gossip', () => this.directory.gossip.tick())
+    this.runPart('selector', () => this.schedulerSelector.tick())
+    this.runPart('hub', () => this.hub.tick())
+    this.runPart('ingress', () => this.ingress.tick(now))
+  }
+
+  private runPart (part: string, run: () => void): void {
+    runSafely(this.log, { event: 'tick-failed', part }, run)
+  }
+
+  private tickServers (now: number): void {
     if (now - this.refreshedAt >= REFRESH_MS) this.refresh(now)
     else if (this.isScheduler) this.updateHostShares()
-    if (now - this.publishedAt >= PUBLISH_MS) {
-      this.publishedAt = now
-      if (this.isScheduler) this.hub.publishState()
-    }
-    this.storeFollowing.tick(now)
-    if (this.migrationController.hasOrders) this.migrationController.tick(this.isScheduler, now)
-    this.directory.gossip.tick()
-    this.schedulerSelector.tick()
-    this.hub.tick()
-    this.ingress.tick(now)
+    if (now - this.publishedAt < PUBLISH_MS) return
+    this.publishedAt = now
+    if (this.isScheduler) this.hub.publishState()
   }
 
-  /** Runs after changes and at intervals: a removed server becomes unusable after a time, and links open and close. */
+  /** Runs after changes and at intervals, since removed servers become unusable, and links open and close. */
   private refresh (now: number): void {
     this.refreshedAt = now
     const { fleet, membership, deployment } = this.directory
@@ -226,9 +226,11 @@
     this.isRefreshScheduled = true
     queueMicrotask(() => {
       this.isRefreshScheduled = false
-      this.refresh(this.clock.now())
-      this.hub.tick()
-      this.sendVersionVectors()
+      this.runPart('servers', () => {
+        this.refresh(this.clock.now())
+        this.hub.tick()
+        this.sendVersionVectors()
+      })
     })
   }
 
--- a/src/gateway/membership.ts
+++ b/src/gateway/membership.ts
@@ -1,6 +1,6 @@
 import type Logger from 'bunyan'
 import { z } from 'zod'
-import type { Clock } from '../base/index.js'
+import { type Clock, parseEndpoint } from '../base/index.js'
 import type { Member } from '../dispatch/index.js'
 import type { Row, Store } from '../store/index.js'
 
@@ -14,7 +14,10 @@
 const INITIAL_WRITE_TIMEOUT_MS = 400
 const MAX_WRITE_TIMEOUT_MS = 2_500
 
-const schema = z.object({ address: z.string(), cores: z.number().positive().default(1) })
+const schema = z.object({
+  address: z.string().refine(address => parseEndpoint(address) !== undefined),
+  cores: z.number().positive().default(1)
+})
 
 /** The members of the deployment by their rows in the store, and the writer of this host's own row. */
 export class Membership {
--- a/src/gateway/migrationcontroller.ts
+++ b/src/gateway/migrationcontroller.ts
@@ -54,11 +54,6 @@
     private readonly log: Logger
   ) {}
 
-  /** Whether any version migration was ordered. */
-  get hasOrders (): boolean {
-    return this.orders.size > 0
-  }
-
   /**
    * Sets the difference between the store's clock and this host's.
    *
--- a/src/gateway/readiness.ts
+++ b/src/gateway/readiness.ts
@@ -1,5 +1,5 @@
 import { createServer, type Server } from 'node:http'
-import type { Endpoint } from './settings.js'
+import type { Endpoint } from '../base/index.js'
 
 /** HTTP server for the load balancer's check whether this host accepts new connections. */
 export class ReadinessServer {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,11 +1,6 @@
+import type { Endpoint } from '../base/index.js'
 import type { ScheduleLimits } from '../schedule/index.js'
 
-/** An IP address and a port. */
-export interface Endpoint {
-  readonly ip: string
-  readonly port: number
-}
-
 /** Settings that a gateway process is started with. */
 export interface GatewaySettings {
   /** Name of this host; unique in the deployment. */
--- a/src/store/follower.ts
+++ b/src/store/follower.ts
@@ -1,6 +1,5 @@
 import type Logger from 'bunyan'
-import type { Clock } from '../base/index.js'
-import type { StoreFailure } from './failure.js'
+import { type Clock, toError } from '../base/index.js'
 import type { Replica } from './replica.js'
 import { eraOf } from './revision.js'
 import type { RowBatch } from './row.js'
@@ -143,7 +142,7 @@
         await new Promise<void>(resolve => { this.continueRunning = resolve })
         continue
       }
-      const pauseMs = this.revision === undefined ? await this.listTable() : await this.readChanges(this.revision)
+      const pauseMs = await this.callStore()
       if (pauseMs === undefined) {
         const retryPauseMs = Math.min(INITIAL_RETRY_PAUSE_MS * 2 ** (this.failureCount - 1), MAX_RETRY_PAUSE_MS)
         await this.clock.sleep(Math.max(0, retryPauseMs - (this.clock.now() - this.calledAt)))
@@ -153,6 +152,17 @@
     }
   }
 
+  /** @returns the pause until the next call, in milliseconds; undefined after a failure */
+  private async callStore (): Promise<number | undefined> {
+    try {
+      return this.revision === undefined ? await this.listTable() : await this.readChanges(this.revision)
+    } catch (thrown) {
+      // A response that can't be handled must not end the follower. The table is listed again.
+      this.revision = undefined
+      return this.recordFailure(toError(thrown))
+    }
+  }
+
   /** @returns the pause until the next call, in milliseconds; undefined after a failure */
   private async listTable (): Promise<number | undefined> {
     this.calledAt = this.clock.now()
@@ -221,7 +231,7 @@
     this.log.warn({ event: 'rows-outdated', table, outdated, revision, newestRevision }, 'rows-outdated')
   }
 
-  private recordFailure (failure: StoreFailure): undefined {
+  private recordFailure (failure: Error): undefined {
     this.failureCount++
     if (this.failureCount === 1) {
       this.log.warn({ event: 'store-lost', table: this.replica.table, reason: failure.message }, 'store-lost')
--- a/standins/rows.ts
+++ b/standins/rows.ts
@@ -88,7 +88,12 @@
    * @param value - stored as JSON; undefined deletes the row
    */
   put (table: string, key: string, value: unknown): void {
-    const text = value === undefined ? undefined : Buffer.from(JSON.stringify(value)).toString('base64')
+    this.putText(table, key, value === undefined ? undefined : JSON.stringify(value))
+  }
+
+  /** Writes a row whose value is any text, or removes it if the value is undefined. */
+  putText (table: string, key: string, value: string | undefined): void {
+    const text = value === undefined ? undefined : Buffer.from(value).toString('base64')
     this.version++
     this.applyChange({ table, part: '', key, ...(text === undefined ? {} : { value: text }), row_version: this.version })
   }
