Continue a stream only with a response of its own media type

Callers saw: the text of an error in the middle of a stream, if a stream broke off and the next server described its error in a response with status 200.

Cause: each success on a route of streams counts as the rest of the stream. Text that ends with an empty line is taken for an event without an id, and forwarded.

Ruled out: statuses of 300 or more, partial events and heads within a chunk; the other 11 cases of the test pass on the code before.

Change: a response whose Content-Type is another one than that of the response which was begun counts as broken off. A server may be asked next, or the response ends where it broke off.

Evidence: brokenstreams.test.ts, case "a success that is no stream of events", on a real process with scripted servers: fails before, passes. Paths looked at: own connections and relayed requests share Delivery.onHead. A complete response of the right type without events still ends the stream, since the first server may have sent all events but not its end.

--- a/src/forward/callerresponse.ts
+++ b/src/forward/callerresponse.ts
@@ -1,5 +1,5 @@
 import type { ServerResponse } from 'node:http'
-import type { RawHeaders } from './headers.js'
+import { findHeader, type RawHeaders } from './headers.js'
 
 /** Statuses whose responses have neither a body nor a Content-Length, by RFC 9110. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
@@ -9,6 +9,8 @@
   /** Whether the caller disconnected before the response was complete. */
   hasCallerDisconnected = false
   private isCloseDelimited = false
+  /** Media type of the response that was started. */
+  private mediaType = ''
 
   /**
    * @param response - Node's response object for the connection
@@ -42,6 +44,15 @@
     return this.hasCallerDisconnected || this.response.writableEnded || this.response.destroyed
   }
 
+  /**
+   * @param headers - the headers of a successful response of a server
+   * @returns whether its body may follow what was sent, if anything was; that of another type, such as a description of
+   *   an error, may not
+   */
+  canContinueWith (headers: RawHeaders): boolean {
+    return !this.isStarted || mediaTypeOf(headers) === this.mediaType
+  }
+
   /**
    * Starts a response whose body follows in chunks.
    *
@@ -51,6 +62,7 @@
    */
   start (status: number, headers: RawHeaders, isCloseDelimited: boolean): void {
     if (isCloseDelimited) this.delimitByClose()
+    this.mediaType = mediaTypeOf(headers)
     this.writeHead(status, [...headers])
   }
 
@@ -127,3 +139,8 @@
     this.response.writeHead(status, headers)
   }
 }
+
+/** @returns the media type that headers state, without parameters; empty if they state none */
+function mediaTypeOf (headers: RawHeaders): string {
+  return (findHeader(headers, 'content-type') ?? '').split(';')[0]!.trim().toLowerCase()
+}
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -146,6 +146,7 @@
     const excess = this.receiveLimit.recordHead(this.isStreaming, bodyLength)
     if (excess !== undefined) this.abortAsBroken(excess)
     else if (!this.isStreaming) this.recordArrival()
+    else if (!this.response.canContinueWith(headers)) this.abortAsBroken('the response is no part of the stream')
   }
 
   onBody (bytes: Buffer): boolean {
@@ -199,9 +200,7 @@
   private forwardEvents (bytes: Buffer): boolean {
     const { events, isValid } = this.sequencer.push(bytes)
     let canContinue = true
-    for (const event of events) {
-      if (event.isProgress) this.recordArrival()
-    }
+    for (const event of events) if (event.isProgress) this.recordArrival()
     if (events.length > 0) {
       this.startResponse()
       canContinue = this.response.write(Buffer.concat(events.map(event => event.bytes)))
--- a/test/brokenstreams.test.ts
+++ b/test/brokenstreams.test.ts
@@ -55,6 +55,7 @@
   'a misdirection': respondWith('421 Misdirected Request'),
   'a client error': respondWith('404 Not Found'),
   'a redirection': respondWith('302 Found', ['Location: /']),
+  'a success that is no stream of events': respondWith('200 OK', ['Content-Type: text/plain'], `${ERROR_TEXT}\n\n`),
   'a failure in chunks': (request, _, socket) => {
     socket.write(head(request, '500 Internal Server Error', EVENT_STREAM) + chunk(`data: ${ERROR_TEXT}\n\n`) + STREAM_END)
   },
