Hand over which requests crash servers to the next scheduler

Cause: only crashes of prompt parts were evidence that schedulers publish and hand over; crashes of whole requests ended with the process that had counted them. Nor was it handed over which connections had broken at servers that are not known to be lost yet, so that crashes shortly before a change counted for no scheduler.

Ruled out: hosts that lose their copy at a change (they keep what they have got, crashhandover.test.ts passes for prompt parts on the code before) and a wrong attribution by the next scheduler (the case passes without the stop).

Change: the evidence holds crashed requests and unexplained broken connections. Crashes of whole requests are only ever added, also by hosts whose scheduler is of an earlier build and does not know them. Protocol 3 (crashedRequests) states it; the fields are new, earlier builds skip them. Ages that are no amounts are ignored.

--- a/src/dispatch/hub.ts
+++ b/src/dispatch/hub.ts
@@ -6,7 +6,7 @@
 import { isAmount } from './amount.js'
 import { Feeds } from './feeds.js'
 import type { Gossip } from './gossip.js'
-import { createReply, decodeJob, encodeCrashes, encodeEffect } from './messages.js'
+import { createReply, decodeCrashes, decodeJob, encodeCrashes, encodeEffect } from './messages.js'
 import { HostLinks } from './hostlinks.js'
 import { CURRENT_PROTOCOL, Protocol } from './protocol.js'
 
@@ -168,7 +168,7 @@
         this.scheduler.quotas.adopt(body.value.levels, now)
         break
       case 'crashes':
-        this.scheduler.crashes.adopt(body.value, false, now)
+        this.scheduler.crashes.adopt(decodeCrashes(body.value), false, now)
         break
       default:
         this.handleRowAsk(host, body)
--- a/src/dispatch/messages.ts
+++ b/src/dispatch/messages.ts
@@ -2,6 +2,7 @@
 import type { BackendServer } from '../fleet/index.js'
 import type { CrashEvidence } from '../poison/index.js'
 import type { Effect, Job } from '../schedule/index.js'
+import { isAmount } from './amount.js'
 import {
   type Ask, AskSchema, type Crashes, CrashesSchema, type Place, PlaceSchema, type Reply, ReplySchema
 } from './dispatch_pb.js'
@@ -142,9 +143,25 @@
  * @param evidence - what a scheduler knows of crashes
  * @returns the body of a message to another host
  */
-export function encodeCrashes ({ crashes, blocked }: CrashEvidence): Crashes {
+export function encodeCrashes ({ crashes, blocked, requests, disconnects }: CrashEvidence): Crashes {
   return create(CrashesSchema, {
     crashes: crashes.map(crash => ({ ...crash, parts: [...crash.parts] })),
-    blocked: blocked.map(part => ({ ...part, servers: [...part.servers] }))
+    blocked: blocked.map(part => ({ ...part, servers: [...part.servers] })),
+    requests: requests.map(request => ({ ...request, servers: [...request.servers] })),
+    disconnects: disconnects.map(disconnect => ({ ...disconnect, parts: [...disconnect.parts] }))
   })
 }
+
+/**
+ * @param message - what another host knows of crashes
+ * @returns the entries whose ages are valid
+ */
+export function decodeCrashes ({ crashes, blocked, requests, disconnects }: Crashes): CrashEvidence {
+  const hasAge = ({ ageMs }: { readonly ageMs: number }): boolean => isAmount(ageMs)
+  return {
+    crashes: crashes.filter(hasAge),
+    blocked: blocked.filter(hasAge),
+    requests: requests.filter(hasAge),
+    disconnects: disconnects.filter(each => hasAge(each) && isAmount(each.grantedAgeMs))
+  }
+}
--- a/src/dispatch/protocol.ts
+++ b/src/dispatch/protocol.ts
@@ -5,8 +5,10 @@
   /** It reports each limit of requests that a server states. */
   statements: 1,
   /** It takes changes of the store's rows from the scheduler that it uses. */
-  feed: 2
+  feed: 2,
+  /** It keeps which whole requests crash servers, and hands it over to the next scheduler. */
+  crashedRequests: 3
 } as const
 
 /** The protocol of this build. */
-export const CURRENT_PROTOCOL = Protocol.feed
+export const CURRENT_PROTOCOL = Protocol.crashedRequests
--- a/src/dispatch/selector.ts
+++ b/src/dispatch/selector.ts
@@ -6,7 +6,7 @@
 import { Link } from './link.js'
 import type { Member } from './member.js'
 import { rankMembers } from './memberranking.js'
-import { createAsk, encodeCrashes } from './messages.js'
+import { createAsk, decodeCrashes, encodeCrashes } from './messages.js'
 import { StoreCheck } from './storecheck.js'
 
 /**
@@ -188,7 +188,7 @@
     } else if (body.case === 'paces') {
       this.hub.scheduler.loads.adoptSpeeds(body.value.paces)
     } else if (body.case === 'crashes') {
-      this.hub.adoptCrashes(body.value)
+      this.hub.adoptCrashes(decodeCrashes(body.value))
     } else {
       this.dispatcher.handleReply(reply)
     }
--- a/src/poison/detector.ts
+++ b/src/poison/detector.ts
@@ -1,16 +1,9 @@
+import { type DisconnectedRequest, Disconnects } from './disconnects.js'
 import type { CrashEvidence } from './evidence.js'
 import { CrashHistory } from './history.js'
 import { type CrashObserver, NO_OBSERVER } from './observer.js'
 import { PartHistory, REPORT_DELAY_MS } from './parthistory.js'
-
-/**
- * A server lost within this time after a connection to it broke is assumed to have crashed, in milliseconds. Longer
- * than the entry of a crashed server remains in the store.
- */
-const CRASH_WINDOW_MS = 8_000
-
-/** Connections to a server that break within this time are assumed to break together, in milliseconds. */
-const JOINT_BREAK_MS = 250
+import type { RequestTraits } from './traits.js'
 
 /** How long a crash counts against a request, in milliseconds. */
 const RETENTION_MS = 120_000
@@ -18,26 +11,6 @@
 /** Number of servers that a request must have crashed before it is refused. */
 const REFUSAL_THRESHOLD = 3
 
-/** Number of requests with a broken connection that are kept in case their server is found lost. */
-const MAX_DISCONNECTED_REQUESTS = 1_024
-
-/** What identifies a request when crashes are compared. */
-export interface RequestTraits {
-  /** Equal for requests with the same path, organisation and body. */
-  readonly fingerprint: string
-  /** Ids of the parts of the prompt that other requests may share. */
-  readonly sharedPromptParts: readonly string[]
-}
-
-interface DisconnectedRequest {
-  readonly traits: RequestTraits
-  readonly server: string
-  readonly grantedAt: number
-  readonly disconnectedAt: number
-  /** Whether the response may be complete, since the end of the connection is also the end of the response. */
-  readonly mayBeComplete: boolean
-}
-
 /**
  * Detects requests that crash servers, alike or with a common prompt part. A broken connection alone is no evidence of
  * a crash: the server must be lost right after it. Servers are identified by incarnation.
@@ -45,26 +18,25 @@
 export class PoisonDetector {
   private readonly history = new CrashHistory(RETENTION_MS, REFUSAL_THRESHOLD)
   private readonly parts = new PartHistory()
-  private disconnectedRequests: DisconnectedRequest[] = []
+  private readonly disconnects = new Disconnects()
+  /** Increases with what is learned of whole requests. */
+  private requestRevision = 0
 
   /** @param observer - is told of each crash and each blocked part */
   constructor (private readonly observer: CrashObserver = NO_OBSERVER) {}
 
   /**
-   * Records a request whose connection to its server broke.
+   * Records a request whose connection to its server broke. It counts as evidence at once if the request is suspect, so
+   * that the next scheduler can attribute a crash that is not known yet.
    *
-   * @param traits - what identifies the request
-   * @param server - incarnation of the server that ran it
-   * @param grantedAt - when it was granted the server, monotonic time in milliseconds
-   * @param mayBeComplete - whether the end of the connection is also the end of the response; it is taken for complete
-   *   unless the server is lost
-   * @param now - monotonic time, in milliseconds
+   * @param request - the request
    */
-  recordDisconnect (
-    traits: RequestTraits, server: string, grantedAt: number, mayBeComplete: boolean, now: number
-  ): void {
-    this.disconnectedRequests.push({ traits, server, grantedAt, disconnectedAt: now, mayBeComplete })
-    if (this.disconnectedRequests.length > MAX_DISCONNECTED_REQUESTS) this.disconnectedRequests.shift()
+  recordDisconnect (request: DisconnectedRequest): void {
+    const { traits, mayBeComplete, disconnectedAt } = request
+    const isSuspect = this.history.has(traits.fingerprint, disconnectedAt) || this.disconnects.hasOther(request) ||
+      this.suspectParts(traits).length > 0
+    this.disconnects.record(request)
+    if (isSuspect && !mayBeComplete) this.requestRevision++
   }
 
   /**
@@ -75,11 +47,8 @@
    * @param now - monotonic time, in milliseconds
    */
   recordServerLoss (server: string, now: number): void {
-    const [ofServer, ofOthers] = [[] as DisconnectedRequest[], [] as DisconnectedRequest[]]
-    for (const request of this.disconnectedRequests) (request.server === server ? ofServer : ofOthers).push(request)
-    this.disconnectedRequests = ofOthers
-    const requests = ofServer.filter(({ disconnectedAt }) => now - disconnectedAt <= CRASH_WINDOW_MS)
-    if (requests.length > 0) this.recordCrash(server, requests.map(({ traits }) => traits), now)
+    const requests = this.disconnects.take(server, now)
+    if (requests.length > 0) this.recordCrash(server, requests, now)
   }
 
   /**
@@ -89,9 +58,8 @@
    * @returns the incarnations of those that are not known to be lost
    */
   disconnectedServers (now: number): Set<string> {
-    if (this.disconnectedRequests.length === 0) return new Set()
-    this.resolveDisconnects(each => now - each.disconnectedAt > CRASH_WINDOW_MS)
-    return new Set(this.disconnectedRequests.filter(each => !each.mayBeComplete).map(({ server }) => server))
+    this.completeResolved(this.disconnects.expire(now))
+    return this.disconnects.servers
   }
 
   /**
@@ -102,11 +70,7 @@
    * @returns the time of the first break, or undefined if fewer than two requests that ran at that time broke
    */
   jointBreakAt (server: string, now: number): number | undefined {
-    const broken = this.disconnectedRequests.filter(each => {
-      return each.server === server && !each.mayBeComplete && now - each.disconnectedAt <= JOINT_BREAK_MS
-    })
-    const firstAt = Math.min(...broken.map(({ disconnectedAt }) => disconnectedAt))
-    return broken.filter(({ grantedAt }) => grantedAt < firstAt).length < 2 ? undefined : firstAt
+    return this.disconnects.jointBreakAt(server, now)
   }
 
   /**
@@ -114,9 +78,7 @@
    * @returns whether the connection of a request with one of them broke, and it is not known yet why
    */
   isUnresolved (parts: readonly string[]): boolean {
-    return this.disconnectedRequests.some(({ traits, mayBeComplete }) => {
-      return !mayBeComplete && traits.sharedPromptParts.some(part => parts.includes(part))
-    })
+    return this.disconnects.includesPart(parts)
   }
 
   /**
@@ -126,7 +88,8 @@
    * @param now - monotonic time, in milliseconds
    */
   recordResponse (server: string, now: number): void {
-    this.resolveDisconnects(each => each.server === server && now - each.disconnectedAt > REPORT_DELAY_MS)
+    const isRefuted = (at: number): boolean => now - at > REPORT_DELAY_MS
+    this.completeResolved(this.disconnects.resolve(each => each.server === server && isRefuted(each.disconnectedAt)))
     this.reportUnblocked(this.parts.recordResponse(server, now))
   }
 
@@ -158,41 +121,50 @@
 
   /** Increases with each change of the evidence. */
   get revision (): number {
-    return this.parts.revision
+    return this.parts.revision + this.requestRevision
   }
 
   /**
    * @param now - monotonic time, in milliseconds
-   * @returns the crashes and blocked prompt parts, for other schedulers
+   * @returns all evidence, for other schedulers
    */
   evidence (now: number): CrashEvidence {
-    return this.parts.evidence(now)
+    return {
+      ...this.parts.evidence(now),
+      requests: this.history.summaries(now),
+      disconnects: this.disconnects.summaries(now)
+    }
   }
 
   /**
-   * Adopts the evidence of another scheduler.
+   * Adopts the evidence of another scheduler. Crashes of whole requests are added to those known here in any case:
+   * nothing refutes them later, and schedulers of earlier builds do not know of them.
    *
-   * @param evidence - its crashes and blocked prompt parts
-   * @param isReplacement - whether the evidence gathered here is discarded, since the other scheduler is in use
+   * @param evidence - what it knows
+   * @param isReplacement - whether the other evidence gathered here is discarded, since the other scheduler is in use
    * @param now - monotonic time, in milliseconds
    */
   adopt (evidence: CrashEvidence, isReplacement: boolean, now: number): void {
-    if (isReplacement) this.parts.clear()
+    if (isReplacement) {
+      this.parts.clear()
+      this.disconnects.clear()
+    }
     this.parts.adopt(evidence, now)
+    const learned = evidence.requests.filter(request => this.history.adopt(request, now))
+    if (learned.length > 0) this.requestRevision++
+    for (const disconnect of evidence.disconnects) this.disconnects.adopt(disconnect, now)
   }
 
-  /** Drops requests whose server goes on. */
-  private resolveDisconnects (isResolved: (request: DisconnectedRequest) => boolean): void {
-    const resolved = this.disconnectedRequests.filter(isResolved)
-    if (resolved.length === 0) return
-    this.disconnectedRequests = this.disconnectedRequests.filter(each => !resolved.includes(each))
-    for (const { traits, mayBeComplete } of resolved) if (mayBeComplete) this.recordCompletion(traits)
+  /** Takes the responses of requests whose server goes on for complete, if they may be. */
+  private completeResolved (requests: readonly DisconnectedRequest[]): void {
+    for (const { traits, mayBeComplete } of requests) if (mayBeComplete) this.recordCompletion(traits)
   }
 
   private recordCrash (server: string, requests: readonly RequestTraits[], now: number): void {
     const parts = [...new Set(requests.flatMap(traits => traits.sharedPromptParts))]
     this.observer.serverCrashed({ server, requests: requests.length, parts })
     if (!this.parts.isBlocked(parts, now)) {
+      this.requestRevision++
       for (const { fingerprint } of requests) this.history.recordCrash(fingerprint, server, now)
     }
     // A request that crashes servers by itself does not accuse its prompt parts.
--- a/src/poison/history.ts
+++ b/src/poison/history.ts
@@ -1,9 +1,14 @@
+import type { CrashedRequestSummary } from './evidence.js'
+
 /** Default number of servers that a request must have crashed before it is refused. */
 export const DEFAULT_REFUSAL_THRESHOLD = 2
 
 /** Number of requests in the history above which the least recently updated one is evicted. */
 const MAX_ENTRIES = 4_096
 
+/** Greatest number of requests that are summarised for other schedulers: a few tens of bytes each, for each host. */
+const MAX_SUMMARIES = 128
+
 interface CrashEntry {
   readonly servers: ReadonlySet<string>
   readonly lastCrashAt: number
@@ -36,12 +41,43 @@
    * @param now - current time, in milliseconds of the clock that all calls use
    */
   recordCrash (fingerprint: string, server: string, now: number): void {
-    const crashedBefore = this.crashedServers(fingerprint, now)
-    this.entries.delete(fingerprint)
-    this.entries.set(fingerprint, { servers: new Set([...crashedBefore, server]), lastCrashAt: now })
-    if (this.entries.size <= MAX_ENTRIES) return
-    const oldest = this.entries.keys().next().value
-    if (oldest !== undefined) this.entries.delete(oldest)
+    this.add(fingerprint, [server], now, now)
+  }
+
+  /**
+   * Adds what another history knows of a request.
+   *
+   * @param summary - the request and the servers that crashed
+   * @param now - current time, in milliseconds of the clock that all calls use
+   * @returns whether a server was not known
+   */
+  adopt ({ fingerprint, servers, ageMs }: CrashedRequestSummary, now: number): boolean {
+    if (ageMs >= this.retentionMs) return false
+    const known = this.crashedServers(fingerprint, now)
+    if (servers.every(server => known.has(server))) return false
+    this.add(fingerprint, servers, now - ageMs, now)
+    return true
+  }
+
+  /**
+   * @param now - current time, in milliseconds of the clock that all calls use
+   * @returns the requests that crashed most servers, the latest first among equals, for other histories
+   */
+  summaries (now: number): CrashedRequestSummary[] {
+    return [...this.entries].reverse().filter(([fingerprint]) => this.crashedServers(fingerprint, now).size > 0)
+      .sort(([, a], [, b]) => b.servers.size - a.servers.size).slice(0, MAX_SUMMARIES)
+      .map(([fingerprint, { servers, lastCrashAt }]) => ({
+        fingerprint, servers: [...servers], ageMs: now - lastCrashAt
+      }))
+  }
+
+  /**
+   * @param fingerprint - fingerprint of a request
+   * @param now - current time, in milliseconds of the clock that all calls use
+   * @returns whether a server crashed while it ran the request
+   */
+  has (fingerprint: string, now: number): boolean {
+    return this.crashedServers(fingerprint, now).size > 0
   }
 
   /**
@@ -53,6 +89,16 @@
     return this.crashedServers(fingerprint, now).size >= this.threshold
   }
 
+  private add (fingerprint: string, servers: readonly string[], crashedAt: number, now: number): void {
+    const crashedBefore = this.crashedServers(fingerprint, now)
+    const lastCrashAt = Math.max(crashedAt, this.entries.get(fingerprint)?.lastCrashAt ?? -Infinity)
+    this.entries.delete(fingerprint)
+    this.entries.set(fingerprint, { servers: new Set([...crashedBefore, ...servers]), lastCrashAt })
+    if (this.entries.size <= MAX_ENTRIES) return
+    const oldest = this.entries.keys().next().value
+    if (oldest !== undefined) this.entries.delete(oldest)
+  }
+
   private crashedServers (fingerprint: string, now: number): ReadonlySet<string> {
     const entry = this.entries.get(fingerprint)
     return entry === undefined || entry.lastCrashAt <= now - this.retentionMs ? new Set() : entry.servers
--- a/src/poison/parthistory.ts
+++ b/src/poison/parthistory.ts
@@ -1,6 +1,9 @@
 import type { BlockedPart, Crash } from './crash.js'
 import type { BlockedPartSummary, CrashEvidence, CrashSummary } from './evidence.js'
 
+/** What is known of prompt parts that crash servers. */
+export type PartEvidence = Pick<CrashEvidence, 'crashes' | 'blocked'>
+
 /** Number of crashes after which a part that has never been in a complete response is blocked. */
 export const PART_THRESHOLD = 3
 
@@ -122,7 +125,7 @@
    * @param now - monotonic time, in milliseconds
    * @returns the crashes and blocked parts, for other schedulers
    */
-  evidence (now: number): CrashEvidence {
+  evidence (now: number): PartEvidence {
     return {
       crashes: this.crashes.map(({ server, parts, at }) => ({ server, parts: [...parts], ageMs: now - at })),
       blocked: [...this.blocked].map(([part, { servers, at }]) => ({ part, servers: [...servers], ageMs: now - at }))
@@ -135,7 +138,7 @@
    * @param evidence - its crashes and blocked parts
    * @param now - monotonic time, in milliseconds
    */
-  adopt ({ crashes, blocked }: CrashEvidence, now: number): void {
+  adopt ({ crashes, blocked }: PartEvidence, now: number): void {
     for (const summary of blocked) this.adoptBlockedPart(summary, now)
     for (const summary of crashes) this.adoptCrash(summary, now)
     this.expire(now)
--- a/src/schedule/crashmonitor.ts
+++ b/src/schedule/crashmonitor.ts
@@ -1,5 +1,5 @@
 import type { BackendServer } from '../fleet/index.js'
-import { type CrashEvidence, type CrashObserver, PoisonDetector } from '../poison/index.js'
+import { type CrashEvidence, type CrashObserver, type DisconnectedRequest, PoisonDetector } from '../poison/index.js'
 import type { Job } from './job.js'
 import { Outcome, SUCCESSES } from './outcome.js'
 
@@ -88,7 +88,7 @@
     if (RESPONSES.has(outcome)) this.detector.recordResponse(run.server, now)
     if (!run.hasStarted) return
     if (outcome === Outcome.done) this.detector.recordCompletion(run.job)
-    if (outcome === Outcome.ended) this.detector.recordDisconnect(run.job, run.server, run.grantedAt, true, now)
+    if (outcome === Outcome.ended) this.detector.recordDisconnect(toDisconnect(run, true, now))
   }
 
   /** @param isGone - whether the job with an id is no longer running */
@@ -126,7 +126,7 @@
 
   /**
    * @param now - monotonic time, in milliseconds
-   * @returns the crashes and blocked prompt parts, for other schedulers
+   * @returns what is known of crashes, for other schedulers
    */
   evidence (now: number): CrashEvidence {
     return this.detector.evidence(now)
@@ -135,8 +135,8 @@
   /**
    * Adopts the evidence of another scheduler.
    *
-   * @param evidence - its crashes and blocked prompt parts
-   * @param isReplacement - whether the evidence gathered here is discarded, since the other scheduler is in use
+   * @param evidence - what it knows of crashes
+   * @param isReplacement - whether the other scheduler is in use, so that its evidence replaces what it may refute here
    * @param now - monotonic time, in milliseconds
    */
   adopt (evidence: CrashEvidence, isReplacement: boolean, now: number): void {
@@ -144,10 +144,11 @@
   }
 
   /** A server is lost if the connections of all its jobs break together, even if its entry remains for some time. */
-  private recordDisconnect ({ job, server, grantedAt }: Run, now: number): void {
-    this.detector.recordDisconnect(job, server, grantedAt, false, now)
+  private recordDisconnect (run: Run, now: number): void {
+    const { server } = run
+    this.detector.recordDisconnect(toDisconnect(run, false, now))
     const breakAt = this.detector.jointBreakAt(server, now)
-    if (breakAt === undefined || this.isRunning(run => run.server === server && run.grantedAt < breakAt)) return
+    if (breakAt === undefined || this.isRunning(other => other.server === server && other.grantedAt < breakAt)) return
     this.detector.recordServerLoss(server, now)
   }
 
@@ -157,6 +158,11 @@
   }
 }
 
+function toDisconnect ({ job, server, grantedAt }: Run, mayBeComplete: boolean, now: number): DisconnectedRequest {
+  const { fingerprint, sharedPromptParts } = job
+  return { traits: { fingerprint, sharedPromptParts }, server, grantedAt, disconnectedAt: now, mayBeComplete }
+}
+
 function formatIncarnation ({ id, born }: BackendServer): string {
   return `${id}/${born}`
 }
--- a/test/crashhandover.test.ts
+++ b/test/crashhandover.test.ts
@@ -46,6 +46,25 @@
     await new Promise(resolve => setTimeout(resolve, PUBLISH_MS))
   }
 
+  /** Crashes servers with a request that comes again. */
+  async function crashServersAgain (host: TestHost, ids: string[], isLost = true): Promise<void> {
+    for (const id of ids) {
+      const excludedServers = SERVER_IDS.filter(other => other !== id)
+      const bad = submit(host, { fingerprint: 'bad', excludedServers })
+      const other = submit(host, { fingerprint: `other-${id}`, excludedServers })
+      await waitFor(() => bad.placements.length === 1 && other.placements.length === 1)
+      bad.handle.reportEnded(Outcome.broken)
+      other.handle.reportEnded(isLost ? Outcome.unreachable : Outcome.cancelled)
+    }
+    await new Promise(resolve => setTimeout(resolve, PUBLISH_MS))
+  }
+
+  async function expectRefusalOfRequest (host: TestHost): Promise<void> {
+    const { placements } = submit(host, { fingerprint: 'bad' })
+    await waitFor(() => placements.length === 1)
+    expect(placements).toEqual([{ kind: 'refused', reason: 'crashes', retryAfterMs: 120_000 }])
+  }
+
   async function expectRefusal (host: TestHost): Promise<void> {
     const { placements } = submit(host, { fingerprint: 'next', sharedPromptParts: ['y', 'bad'] })
     await waitFor(() => placements.length === 1)
@@ -83,4 +102,52 @@
     await crashServers(second!, ['c'])
     await expectRefusal(second!)
   })
+
+  // Guards against a dozen more crashes by one request, which the next scheduler did not know.
+  it('know the requests that crash servers when one scheduler after the other is lost', async () => {
+    const [first, second, third] = await start(3)
+    await crashServersAgain(third!, ['a', 'b', 'c'])
+    await expectRefusalOfRequest(second!)
+    first!.close()
+    await waitFor(() => third!.selector.schedulerHost === second!.name)
+    await expectRefusalOfRequest(third!)
+    second!.close()
+    await waitFor(() => third!.selector.schedulerHost === third!.name)
+    await expectRefusalOfRequest(third!)
+  })
+
+  // Guards against the same if all hosts are replaced in turn, and none remains that saw the crashes.
+  it('hand over the requests that crash servers until all hosts were replaced', async () => {
+    let [first, second] = await start(2)
+    await crashServersAgain(second!, ['a', 'b', 'c'])
+    for (let i = 0; i < 2; i++) {
+      first!.close()
+      await waitFor(() => second!.selector.schedulerHost === second!.name)
+      const restarted = new TestHost(first!.name, '127.0.0.1')
+      hosts.push(restarted)
+      await link([restarted, second!])
+      await expectRefusalOfRequest(second!)
+      await new Promise(resolve => setTimeout(resolve, PUBLISH_MS))
+      second!.close()
+      await waitFor(() => restarted.selector.schedulerHost === restarted.name)
+      await expectRefusalOfRequest(restarted)
+      second = new TestHost(second!.name, '127.0.0.1')
+      hosts.push(second)
+      first = restarted
+      await link([first, second])
+      await new Promise(resolve => setTimeout(resolve, PUBLISH_MS))
+    }
+  })
+
+  // Guards against crashes that count for none of the schedulers: one has seen the connection break, and the next one
+  // sees the server's entry removed.
+  it('attribute crashes that the previous scheduler did not know of yet', async () => {
+    const [first, second] = await start(2)
+    await crashServersAgain(second!, ['a', 'b', 'c'], false)
+    first!.close()
+    await waitFor(() => second!.selector.schedulerHost === second!.name)
+    second!.scheduler.setServers([server('d', { slots: 9 })], 0)
+    submit(second!, { fingerprint: 'other' })
+    await expectRefusalOfRequest(second!)
+  })
 })
--- a/test/messagesamples.ts
+++ b/test/messagesamples.ts
@@ -43,7 +43,9 @@
 
 const CRASHES = {
   crashes: [{ server: 'server-1@1', parts: ['p1'], ageMs: 5 }],
-  blocked: [{ part: 'p2', servers: ['server-1@1', 'server-2@1'], ageMs: 6 }]
+  blocked: [{ part: 'p2', servers: ['server-1@1', 'server-2@1'], ageMs: 6 }],
+  requests: [{ fingerprint: 'f1', servers: ['server-1@1', 'server-2@1'], ageMs: 7 }],
+  disconnects: [{ fingerprint: 'f2', parts: ['p3'], server: 'server-3@1', grantedAgeMs: 9, ageMs: 8 }]
 }
 
 const ASKS: ReadonlyArray<NonNullable<MessageInitShape<typeof AskSchema>['body']>> = [
--- a/test/scriptedserver.ts
+++ b/test/scriptedserver.ts
@@ -14,9 +14,9 @@
 
   private constructor (private readonly server: Server, readonly address: string) {}
 
-  static async start (script: Script): Promise<ScriptedServer> {
+  static async start (script: Script, port = 0): Promise<ScriptedServer> {
     const server = createServer()
-    await new Promise<void>(resolve => { server.listen(0, '127.0.0.1', resolve) })
+    await new Promise<void>(resolve => { server.listen(port, '127.0.0.1', resolve) })
     const scriptedServer = new ScriptedServer(server, `127.0.0.1:${(server.address() as AddressInfo).port}`)
     server.on('connection', socket => {
       scriptedServer.connections++
@@ -40,6 +40,12 @@
     this.server.close()
     for (const socket of this.sockets) socket.destroy()
   }
+
+  /** Ends like a process that crashes: all connections are reset. */
+  crash (): void {
+    this.server.close()
+    for (const socket of this.sockets) socket.resetAndDestroy()
+  }
 }
 
 function isCompleteRequest (text: string): boolean {
