Reuse a connection only after a response that names its attempt

Cause: the id of the attempt tells a late copy of a response from the next one, but a response without an id passes for that of any request. Servers' refusals may come without one.

Change: DirectExchange closes a connection after a response that does not name the attempt of its request. It does the same for requests that are relayed for other hosts, whose connections went back to the pool unchecked.

Cost: a new connection after each refusal without an id.

--- a/src/forward/directexchange.ts
+++ b/src/forward/directexchange.ts
@@ -2,6 +2,7 @@
 import type { ServerConnection } from './connection.js'
 import type { ConnectionPool } from './connectionpool.js'
 import type { Exchange, OutgoingRequest, ResponseHandler } from './exchange.js'
+import { findHeader } from './headers.js'
 import type { Reachability } from './reachability.js'
 
 /** One request and its response over one connection. */
@@ -12,6 +13,10 @@
   private isDone = false
   private isConstructed = false
   private isReleased = false
+  /** Id of the attempt; undefined if the request states none. */
+  private readonly attemptId: string | undefined
+  /** Whether the response names the attempt, so that a late copy of it can be told from the next response. */
+  private isIdentified = false
 
   /**
    * Sends a request.
@@ -19,6 +24,7 @@
    * @param pool - provides the connection
    * @param reachability - tells whether this host can reach servers
    * @param address - the server's IP address and port
+   * @param attemptHeader - name of the header with the attempt's id, which servers echo
    * @param request - the request
    * @param handler - receives the response
    */
@@ -26,9 +32,11 @@
     private readonly pool: ConnectionPool,
     private readonly reachability: Reachability,
     private readonly address: string,
+    private readonly attemptHeader: string,
     request: OutgoingRequest,
     private readonly handler: ResponseHandler
   ) {
+    this.attemptId = findHeader(request.headers, attemptHeader)
     const connection = pool.acquire(address)
     this.connection = connection
     const bytesBefore = connection.parsedBytes
@@ -67,7 +75,8 @@
 
   release (): void {
     this.isReleased = true
-    this.pool.release(this.address, this.connection)
+    if (this.isIdentified) this.pool.release(this.address, this.connection)
+    else this.connection.close()
   }
 
   resume (): void {
@@ -85,7 +94,10 @@
 
   onHeaders (status: number, headers: Buffer[], resume: () => void): boolean {
     this.resumeReading = resume
-    if (!this.isDone && status >= 200) this.handler.onHead(status, headers.map(field => field.toString('latin1')))
+    if (this.isDone || status < 200) return true
+    const fields = headers.map(field => field.toString('latin1'))
+    this.isIdentified = this.attemptId === undefined || findHeader(fields, this.attemptHeader) === this.attemptId
+    this.handler.onHead(status, fields)
     return true
   }
 
--- a/src/forward/directtransport.ts
+++ b/src/forward/directtransport.ts
@@ -12,10 +12,15 @@
   /**
    * @param pool - the connections
    * @param reachability - tells whether this host can reach servers
+   * @param attemptHeader - name of the header with an attempt's id, which servers echo
    */
-  constructor (private readonly pool: ConnectionPool, private readonly reachability: Reachability) {}
+  constructor (
+    private readonly pool: ConnectionPool,
+    private readonly reachability: Reachability,
+    private readonly attemptHeader: string
+  ) {}
 
   send (server: BackendServer, request: OutgoingRequest, handler: ResponseHandler): Exchange {
-    return new DirectExchange(this.pool, this.reachability, server.address, request, handler)
+    return new DirectExchange(this.pool, this.reachability, server.address, this.attemptHeader, request, handler)
   }
 }
--- a/src/forward/exchange.ts
+++ b/src/forward/exchange.ts
@@ -72,6 +72,6 @@
   abort (): void
   /** Continues to read the body after `onBody` returned false. */
   resume (): void
-  /** Keeps the connection for other requests. To be called after a complete response. */
+  /** Keeps the connection for other requests, if it can. To be called after a complete response. */
   release (): void
 }
--- a/src/gateway/serverpaths.ts
+++ b/src/gateway/serverpaths.ts
@@ -45,7 +45,7 @@
       onChange: canReachServers => this.reachabilityChanged(canReachServers)
     })
     this.connectionPool = new ConnectionPool(log, () => this.reachability.recordConnected())
-    const direct = new DirectTransport(this.connectionPool, this.reachability)
+    const direct = new DirectTransport(this.connectionPool, this.reachability, context.headerNames.attemptId)
     this.relays = new RelayPool(host, links.ip, random, clock)
     this.paths = new RelayPaths(direct, this.reachability, this.relays)
     this.relayService = new RelayService({ ...context, transport: direct, reachability: this.reachability })
--- a/test/relayrig.ts
+++ b/test/relayrig.ts
@@ -34,7 +34,7 @@
     this.service = new RelayService({
       headerNames: HEADER_NAMES,
       fleet: this.fleet,
-      transport: new DirectTransport(this.pool, reachability),
+      transport: new DirectTransport(this.pool, reachability, HEADER_NAMES.attemptId),
       reachability,
       bufferBudget: new BufferBudget(),
       clock,
@@ -101,7 +101,7 @@
   private createPaths (): Paths {
     const canReachServers = (): boolean => this.canReachServers
     const reachability = createReachability()
-    const direct = new DirectTransport(this.ownPool, reachability)
+    const direct = new DirectTransport(this.ownPool, reachability, HEADER_NAMES.attemptId)
     const state = { get canReachServers () { return canReachServers() }, tick: () => undefined }
     return new RelayPaths(direct, state, this.relays)
   }
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -141,7 +141,7 @@
       onChange: () => undefined
     })
     const connectionPool = new ConnectionPool(this.log.logger, () => reachability.recordConnected())
-    const direct = new DirectTransport(connectionPool, reachability)
+    const direct = new DirectTransport(connectionPool, reachability, HEADER_NAMES.attemptId)
     connectionPool.setIdleLimits(new Map(this.servers.map(({ address }) => [address, IDLE_CONNECTIONS_PER_SERVER])))
     this.scheduler.quotas.setOrganisations(currentDeployment.organisations, this.clock.now())
     const ingress = new Ingress({
