Hold back bytes of a response at the socket, not in the parser

Cause: onData returned false while the caller did not read, which pauses undici's parser. If the response has no length and its connection is reset or ends then, Parser.finish fails an assertion in an event handler of the socket.

Change: ServerSocket keeps the bytes from the parser, which is never paused.

Ruled out: errors that are thrown in undici's other callbacks; undici hands them to the request (core/request.js), which fails alone.

Paths looked at: own connections; relayed requests, which use the same transport.

--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -64,6 +64,16 @@
     this.onReading = onReading
   }
 
+  /** Stops reading until {@link ServerConnection.resume}; what was read already may still be parsed. */
+  pause (): void {
+    this.socket?.hold()
+  }
+
+  /** Continues reading. */
+  resume (): void {
+    this.socket?.release()
+  }
+
   /** Closes the connection and aborts a request that is in progress. */
   close (): void {
     this.isUsable = false
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -207,7 +207,7 @@
     }
     if (!isValid) this.abortAsBroken('an event is missing or too long')
     else this.context.bufferBudget.set(this, this.sequencer.bufferedBytes)
-    if (!canContinue && !this.isFinished) this.waitForCaller()
+    if (!canContinue && !this.isFinished && !this.isWaitingForCaller) this.waitForCaller()
     return canContinue
   }
 
--- a/src/forward/directexchange.ts
+++ b/src/forward/directexchange.ts
@@ -9,7 +9,6 @@
 export class DirectExchange implements Exchange, UndiciDispatcher.DispatchHandler {
   private readonly connection: ServerConnection
   private abortRequest: (() => void) | undefined
-  private resumeReading: (() => void) | undefined
   private isDone = false
   private isConstructed = false
   private isReleased = false
@@ -80,7 +79,7 @@
   }
 
   resume (): void {
-    this.resumeReading?.()
+    this.connection.resume()
   }
 
   onConnect (abort: (error?: Error) => void): void {
@@ -92,8 +91,7 @@
     this.handler.onSent()
   }
 
-  onHeaders (status: number, headers: Buffer[], resume: () => void): boolean {
-    this.resumeReading = resume
+  onHeaders (status: number, headers: Buffer[]): boolean {
     if (this.isDone || status < 200) return true
     const fields = headers.map(field => field.toString('latin1'))
     this.isIdentified = this.attemptId === undefined || findHeader(fields, this.attemptHeader) === this.attemptId
@@ -102,7 +100,8 @@
   }
 
   onData (bytes: Buffer): boolean {
-    return this.isDone || this.handler.onBody(bytes)
+    if (!this.isDone && !this.handler.onBody(bytes)) this.connection.pause()
+    return true
   }
 
   onComplete (): void {
