Take no revision that is out of range

Callers saw: nothing so far; found by a fuzz test of all messages between hosts.

Cause: a row with the revision NaN or infinity, or beyond the last era, was applied and seemed newer than all that followed. A host that got one ignored every later row (infinity) or no longer noticed that it lags behind (NaN).

Change: Replica ignores such rows, lists and version vectors, from the store as from hosts.

Evidence: "do not keep a host from applying later rows" fails before (NaN) and passes.

--- a/src/store/replica.ts
+++ b/src/store/replica.ts
@@ -1,4 +1,4 @@
-import { eraOf } from './revision.js'
+import { eraOf, isRevision } from './revision.js'
 import type { Row } from './row.js'
 
 /**
@@ -46,13 +46,15 @@
   }
 
   /**
-   * Applies a row unless its key is known with the same or a newer revision, or it is from an earlier era.
+   * Applies a row unless its key is known with the same or a newer revision, it is from an earlier era, or its revision
+   * is none: a number out of range would seem newer than all that follow.
    *
    * @param row - from the store or another host
    * @param now - monotonic time, in milliseconds
    * @returns whether the row was newer and changed more than a heartbeat does
    */
   apply (row: Row, now: number): boolean {
+    if (!isRevision(row.revision)) return false
     const known = this.entries.get(row.key)
     if (eraOf(row.revision) < this.era || (known !== undefined && known.row.revision >= row.revision)) return false
     this.era = eraOf(row.revision)
@@ -71,6 +73,7 @@
    * @param revision - a revision of the table
    */
   advance (revision: number): void {
+    if (!isRevision(revision)) return
     this.era = Math.max(this.era, eraOf(revision))
     this.highestRevision = Math.max(this.highestRevision, revision)
   }
@@ -84,7 +87,7 @@
    * @param now - monotonic time, in milliseconds
    */
   applyTable (rows: readonly Row[], revision: number, now: number): void {
-    if (eraOf(revision) < this.era) return
+    if (!isRevision(revision) || eraOf(revision) < this.era) return
     this.era = eraOf(revision)
     const listedKeys = new Set(rows.map(row => row.key))
     for (const row of [...rows].sort((a, b) => a.revision - b.revision)) this.apply(row, now)
--- a/src/store/revision.ts
+++ b/src/store/revision.ts
@@ -31,3 +31,11 @@
 export function versionOf (revision: number): number {
   return revision % ERA_VERSIONS
 }
+
+/**
+ * @param value - a number of a message, which may be malformed
+ * @returns whether it can be a revision
+ */
+export function isRevision (value: number): boolean {
+  return Number.isSafeInteger(value) && value >= 0 && eraOf(value) <= MAX_ERA
+}
