Release held bytes of a connection when its response is complete

Found while reading the change "Hold back bytes of a response at the socket", which has this fault: a response that was complete while its caller did not read left its connection held, and the next request on it got no response.

Change: DirectExchange.release lets the connection read again; a later resume of a response that is complete has no effect on the connection, which may carry another one by then. The socket reads in the next tick, since release may be called while the parser runs.

Evidence: heldbytes.test.ts, "leaves its connection to the next request ...", fails before ("sent", 0 bytes) and passes.

--- a/src/forward/directexchange.ts
+++ b/src/forward/directexchange.ts
@@ -74,12 +74,13 @@
 
   release (): void {
     this.isReleased = true
+    this.connection.resume()
     if (this.isIdentified) this.pool.release(this.address, this.connection)
     else this.connection.close()
   }
 
   resume (): void {
-    this.connection.resume()
+    if (!this.isDone) this.connection.resume()
   }
 
   onConnect (abort: (error?: Error) => void): void {
--- a/src/forward/serversocket.ts
+++ b/src/forward/serversocket.ts
@@ -23,11 +23,11 @@
     this.isHeld = true
   }
 
-  /** Lets the parser have the bytes that were kept from it. */
+  /** Lets the parser have the bytes that were kept from it. May be called while the parser runs, so it reads later. */
   release (): void {
     if (!this.isHeld) return
     this.isHeld = false
-    if (!this.destroyed) this.emit('readable')
+    process.nextTick(() => { if (!this.destroyed) this.emit('readable') })
   }
 
   /** Number of bytes that the parser has received. */
--- a/test/heldbytes.test.ts
+++ b/test/heldbytes.test.ts
@@ -11,6 +11,7 @@
 const NOTICE_MS = 200
 
 const HEAD = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\nConnection: close\r\n\r\n'
+const KEPT_RESPONSE = 'HTTP/1.1 200 OK\r\nx-attempt: a1\r\nContent-Length: 2\r\n\r\nok'
 
 /** Larger than what is parsed at once. */
 const PART_BYTES = 10_000
@@ -40,7 +41,7 @@
   onUnsendable (): void { this.outcome = 'unsendable' }
 }
 
-describe('a response that ends with its connection while its caller does not read', () => {
+describe('a response whose caller does not read', () => {
   let scripted: ScriptedServer
   const pool = new ConnectionPool(new RecordedLog().logger)
   afterEach(() => {
@@ -48,8 +49,13 @@
     pool.close()
   })
 
-  async function send (script: Script): Promise<{ exchange: Exchange, reader: SlowReader }> {
+  async function start (script: Script): Promise<{ exchange: Exchange, reader: SlowReader }> {
     scripted = await ScriptedServer.start(script)
+    pool.setIdleLimits(new Map([[scripted.address, 1]]))
+    return await send()
+  }
+
+  async function send (): Promise<{ exchange: Exchange, reader: SlowReader }> {
     const reachability = new Reachability({
       clock, random: new SystemRandom(), listAddresses: () => [], probe: probeConnection, onChange: () => undefined
     })
@@ -62,8 +68,8 @@
   }
 
   // Guards against the end of the process by an assertion of the HTTP parser, which one server could cause.
-  it('fails if the connection is reset', async () => {
-    const { reader } = await send((_, __, socket) => {
+  it('fails if it ends with its connection, which is reset', async () => {
+    const { reader } = await start((_, __, socket) => {
       socket.write(HEAD + 'x'.repeat(PART_BYTES))
       setTimeout(() => socket.resetAndDestroy(), NOTICE_MS / 4)
     })
@@ -73,8 +79,8 @@
   })
 
   // Guards against the same by an ordinary end, and against the loss of bytes that were not read yet.
-  it('is complete once all was read if the connection ends', async () => {
-    const { reader, exchange } = await send((_, __, socket) => {
+  it('is complete once all was read if it ends with its connection', async () => {
+    const { reader, exchange } = await start((_, __, socket) => {
       socket.write(HEAD + 'x'.repeat(PART_BYTES))
       setTimeout(() => socket.end('x'.repeat(PART_BYTES)), NOTICE_MS / 4)
     })
@@ -85,4 +91,14 @@
     await sleep(NOTICE_MS)
     expect([reader.outcome, reader.bytes]).toEqual(['complete', 2 * PART_BYTES])
   })
+
+  // Guards against a connection that carries the next request but is not read, since its last response was held back.
+  it('leaves its connection to the next request if it was complete by then', async () => {
+    const first = await start((_, __, socket) => socket.write(KEPT_RESPONSE))
+    expect(first.reader.outcome).toEqual('complete')
+    first.exchange.release()
+    const second = await send()
+    expect([second.reader.outcome, second.reader.bytes]).toEqual(['complete', 2])
+    expect(scripted.connections).toEqual(1)
+  })
 })
