--- a/test/crashingrequests.test.ts
+++ b/test/crashingrequests.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { answer, HostFleet, sleep } from './hostfleet.js'
-import { stopHostProcess } from './hostprocess.js'
+import { Cut, severHost, stopHostProcess } from './hostprocess.js'
 import { type Script, ScriptedServer } from './scriptedserver.js'
 
 const HOSTS = 3
@@ -41,6 +41,17 @@
     await sleep(3_000)
     process.kill('SIGCONT')
   },
+  'a cut': async (fleet, scheduler) => {
+    const others = fleet.hosts.filter((_, index) => index !== scheduler)
+    const sever = async (cut: Cut | undefined): Promise<void> => {
+      const otherAddresses = others.flatMap(({ linkAddresses }) => linkAddresses)
+      await severHost(fleet.hosts[scheduler]!, otherAddresses, cut)
+      for (const other of others) await severHost(other, fleet.hosts[scheduler]!.linkAddresses, cut)
+    }
+    await sever(Cut.silent)
+    await sleep(3_000)
+    await sever(undefined)
+  },
   'the replacement of all hosts in turn': async fleet => {
     for (let index = 0; index < HOSTS; index++) await fleet.replaceHost(index)
   }
