--- a/test/hostfleet.ts
+++ b/test/hostfleet.ts
@@ -8,6 +8,9 @@
 
 const SERVERS = 3
 
+/** Time until a server that was killed starts again, in milliseconds. */
+const SERVER_RESTART_MS = 300
+
 /** Name of the one service. */
 const SERVICE = 's'
 
@@ -26,6 +29,16 @@
   setTimeout(() => respond(socket, '200 OK', 'ok', answerHeaders(text)), 20)
 }
 
+/** A route of a configuration. */
+export interface RouteRow {
+  readonly prefix: string
+  /** Its retry safety as the platform names it. */
+  readonly kind: string
+  /** Whether a stream may be resumed; so if left out. */
+  readonly isResumable?: boolean
+  readonly timeoutMs?: number
+}
+
 /** Processes of severable hosts before scripted servers of one service, with a store. */
 export class HostFleet {
   private readonly directory = mkdtempSync(join(tmpdir(), 'marigoldvalve-'))
@@ -43,13 +56,15 @@
    * @param script - what the servers do
    * @param kinds - retry safety of the routes as the platform names it; each is the prefix of its route
    * @param program - path of the bundled program; that of this build if left out
+   * @param serverCount - number of servers
    */
   static async start (
-    hostCount: number, firstPort: number, script: Script, kinds: readonly string[], program?: string
+    hostCount: number, firstPort: number, script: Script, kinds: readonly string[], program?: string,
+    serverCount = SERVERS
   ): Promise<HostFleet> {
     const fleet = new HostFleet(await RowsStandin.start(), firstPort)
     const { servers, hosts } = fleet
-    for (let index = 0; index < SERVERS; index++) {
+    for (let index = 0; index < serverCount; index++) {
       servers.push(await ScriptedServer.start(script))
       fleet.putServer(index, 'ready')
     }
@@ -95,20 +110,34 @@
     })
   }
 
+  /**
+   * Ends a server as the system does when its process is killed: its port is closed, and its connections end in the
+   * ordinary way. It starts again a moment later.
+   */
+  async killServer (index: number): Promise<void> {
+    const { address, script } = this.servers[index]!
+    this.servers[index]!.close()
+    await sleep(SERVER_RESTART_MS)
+    this.servers[index] = await ScriptedServer.start(script, Number(address.split(':')[1]))
+  }
+
   /** Writes a configuration. */
-  putConfig (version: number, routes: ReadonlyArray<{ readonly prefix: string, readonly kind: string }>): void {
+  putConfig (
+    version: number,
+    routes: readonly RouteRow[]
+  ): void {
     this.store.put('op', 'config', {
       version,
-      routes: routes.map(({ prefix, kind }) => ({
+      routes: routes.map(({ prefix, kind, isResumable = kind === 'streaming', timeoutMs = 1_500 }) => ({
         name: prefix,
         host: 'a.example',
         prefix,
         kind,
-        timeout_ms: 1500,
+        timeout_ms: timeoutMs,
         target_latency_ms: 300,
         service: SERVICE,
         max_attempts: 2,
-        resumable: kind === 'streaming',
+        resumable: isResumable,
         public: true
       })),
       services: [{ name: SERVICE, max_connections: 100 }],
--- a/test/scriptedserver.ts
+++ b/test/scriptedserver.ts
@@ -12,12 +12,12 @@
   readonly usedConnections = new Set<Socket>()
   private readonly sockets = new Set<Socket>()
 
-  private constructor (private readonly server: Server, readonly address: string) {}
+  private constructor (private readonly server: Server, readonly address: string, readonly script: Script) {}
 
   static async start (script: Script, port = 0): Promise<ScriptedServer> {
     const server = createServer()
     await new Promise<void>(resolve => { server.listen(port, '127.0.0.1', resolve) })
-    const scriptedServer = new ScriptedServer(server, `127.0.0.1:${(server.address() as AddressInfo).port}`)
+    const scriptedServer = new ScriptedServer(server, `127.0.0.1:${(server.address() as AddressInfo).port}`, script)
     server.on('connection', socket => {
       scriptedServer.connections++
       scriptedServer.sockets.add(socket)
