Mark the end of each response to a caller by its length or chunks

Callers saw streams that looked complete but were not: a server's response with neither a length nor chunks was forwarded in the same form, so that the end of the caller's connection was its end. When the host's process is killed, or closes its connections at the end of its grace time, the system ends them in the ordinary way.

Cause: the end of a connection is a statement of the operating system, not of this process. The class: a response whose completeness nobody states.

Streams are forwarded in chunks and other bodies with their length, however the server frames them; HTTP/1.0 knows no chunks, so streams need HTTP/1.1 (505). The former reason against a length, that a response without one may be truncated, holds for the end of the connection too.

--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -174,8 +174,8 @@
       this.listener.onEnded(this, this.isCloseDelimited ? Outcome.ended : Outcome.done, undefined)
     } else {
       this.times.lastReceivedAt = this.context.clock.now()
-      const { status, headers, isCloseDelimited } = this
-      const result = { status, headers, isCloseDelimited, body: this.body.toBuffer() }
+      const { status, headers } = this
+      const result = { status, headers, body: this.body.toBuffer() }
       this.listener.onEnded(this, classifyResponse(status, headers, this.context.headerNames), result)
     }
   }
@@ -222,7 +222,7 @@
 
   /** Starts the response to the caller. If a second server continues a stream, the headers of the first remain. */
   private startResponse (): void {
-    if (!this.response.isStarted) this.response.start(this.status, this.headers, this.isCloseDelimited)
+    if (!this.response.isStarted) this.response.start(this.status, this.headers)
   }
 
   /** Records the time of an event, or of the headers of a response that is not streamed. */
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -1,12 +1,13 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { runSafely } from '../base/index.js'
-import type { CallerLimits, Deployment } from '../routing/index.js'
+import { type CallerLimits, type Deployment, RetrySafety } from '../routing/index.js'
 import { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerrequest.js'
 import { CallerResponse } from './callerresponse.js'
 import { handleClientError } from './clienterror.js'
 import type { ForwardContext } from './context.js'
 import { findHeader } from './headers.js'
+import type { ReceivedRequest } from './receivedrequest.js'
 import {
   computeFingerprint, estimateOutputTokens, headerBlockBytes, matchRoute, parseSharedPromptParts, parseTokenUsage,
   quotaUnits, type RouteMatch
@@ -161,6 +162,11 @@
       this.reject(message, response, match, match === Status.notFound ? 'no such route' : 'the key is not known')
       return
     }
+    // HTTP/1.0 has no chunks, so a stream that was cut off could not be told from a complete one.
+    if (match.route.retrySafety === RetrySafety.stream && message.httpVersion === '1.0') {
+      this.reject(message, response, Status.versionNotSupported, 'a stream needs HTTP/1.1')
+      return
+    }
     if (Number(message.headers['content-length'] ?? 0) > bodyBytes) {
       this.reject(message, response, Status.contentTooLarge, 'the body is too long')
       return
@@ -235,12 +241,3 @@
     }
   }
 }
-
-/** A request whose headers were received. */
-interface ReceivedRequest {
-  readonly message: IncomingMessage
-  readonly response: CallerResponse
-  readonly rawResponse: ServerResponse
-  readonly attemptId: string | undefined
-  readonly arrivedAt: number
-}
--- a/src/forward/status.ts
+++ b/src/forward/status.ts
@@ -12,5 +12,6 @@
   serverError: 500,
   badGateway: 502,
   unavailable: 503,
-  gatewayTimeout: 504
+  gatewayTimeout: 504,
+  versionNotSupported: 505
 } as const
--- a/test/rawcaller.ts
+++ b/test/rawcaller.ts
@@ -48,6 +48,15 @@
   return parseResponse(Buffer.concat(chunks).toString('latin1'), wasReset)
 }
 
+/**
+ * @param text - a response as a caller received it
+ * @returns its body without the framing of chunks, and whether it is complete
+ */
+export function bodyOf (text: string): Pick<Received, 'body' | 'isComplete'> {
+  const { body, isComplete } = parseResponse(text, false)
+  return { body, isComplete }
+}
+
 function parseResponse (text: string, wasReset: boolean): Received {
   const headEnd = text.indexOf('\r\n\r\n')
   if (headEnd === -1) return { text, body: '', isComplete: false }
