Count a stream as complete only if its last response has events

Callers saw streams that looked complete though events were missing: a server broke off, and the next one, which was to continue the stream, responded without events, in any framing. Or a server sent the head of a response without a length and ended its connection, so that an empty body passed for a whole one.

Cause: the end of a response was taken for the end of the stream, whatever it had brought.

A continuation without an event is broken off now. It may be that the first server had sent all events and only the end was missing; that is rarer, and its caller can resume. A success without a length and without a body is broken off too, on all routes. Responses that state that they are empty pass as before.

A 204 response counts no longer as one that its connection ends.

--- a/src/forward/callerresponse.ts
+++ b/src/forward/callerresponse.ts
@@ -1,8 +1,9 @@
 import type { ServerResponse } from 'node:http'
 import { findHeader, type RawHeaders } from './headers.js'
+import { Status } from './status.js'
 
 /** Statuses whose responses have neither a body nor a Content-Length, by RFC 9110. */
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([Status.noContent, Status.notModified])
 
 /** The response to one request of a caller. */
 export class CallerResponse {
@@ -54,12 +55,14 @@
 
   /**
    * Starts a response whose body follows in chunks, however the server marks its end. The end of the connection can't
-   * mark it: the system also ends the connections of a process that is killed in the ordinary way.
+   * mark it: the system also ends the connections of a process that is killed in the ordinary way. Does nothing if the
+   * response was started; if a second server continues it, the headers of the first remain.
    *
    * @param status - the HTTP status
    * @param headers - a flat list of names and values
    */
   start (status: number, headers: RawHeaders): void {
+    if (this.isStarted) return
     this.mediaType = mediaTypeOf(headers)
     this.writeHead(status, [...headers])
   }
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -10,15 +10,16 @@
 import type { EventSequencer } from './eventsequencer.js'
 import type { Exchange, ResponseHandler } from './exchange.js'
 import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders, statedBodyLength } from './headers.js'
+import { findMissingBody, findMissingEvents } from './missingpart.js'
 import { buildOutgoingRequest } from './outgoingrequest.js'
 import { ReceiveLimit } from './receivelimit.js'
 import { classifyResponse } from './responseoutcome.js'
 import { ResponseTimes } from './responsetimes.js'
 import { readServerStatement } from './serverstatement.js'
-import { Status } from './status.js'
+import { isSuccess, Status } from './status.js'
 import type { Transport } from './transport.js'
 
-/** A server is silent if it sends nothing for this time or twice the latency objective, if longer; in milliseconds. */
+/** Least time without data after which a server is silent, in milliseconds; twice the latency objective if longer. */
 const MIN_SILENCE_MS = 1_000
 
 /** Headers of responses that are not copied because the scheduler sets them itself. */
@@ -129,8 +130,7 @@
 
   onHead (status: number, headers: RawHeaders): void {
     if (this.isFinished) return
-    const { attemptId, route } = this.request
-    const { headerNames } = this.context
+    const { request: { attemptId, method, route }, context: { headerNames } } = this
     const echoedId = findHeader(headers, headerNames.attemptId)
     if (attemptId !== undefined && echoedId !== undefined && echoedId !== attemptId) {
       this.abortAsBroken('the response belongs to another attempt')
@@ -140,9 +140,9 @@
     if (status !== Status.misdirected) this.listener.onStatement(readServerStatement(status, headers, headerNames))
     this.status = status
     this.headers = endToEndHeaders(headers, REWRITTEN_HEADERS)
-    this.isCloseDelimited = isCloseDelimited(headers)
-    this.isStreaming = route.retrySafety === RetrySafety.stream && status >= 200 && status < 300
-    const bodyLength = statedBodyLength(this.request.method, status, headers)
+    this.isCloseDelimited = isCloseDelimited(method, status, headers)
+    this.isStreaming = route.retrySafety === RetrySafety.stream && isSuccess(status)
+    const bodyLength = statedBodyLength(method, status, headers)
     const excess = this.receiveLimit.recordHead(this.isStreaming, bodyLength)
     if (excess !== undefined) this.abortAsBroken(excess)
     else if (!this.isStreaming) this.recordArrival()
@@ -163,20 +163,24 @@
 
   onEnd (): void {
     if (this.isFinished) return
-    if (this.isStreaming && !this.sequencer.isAtEventBoundary) {
-      this.abortAsBroken('the stream ended within an event')
-      return
-    }
+    const missing = this.isStreaming
+      ? findMissingEvents(this.sequencer, this.isCloseDelimited)
+      : findMissingBody(this.status, this.body.capacity, this.isCloseDelimited)
+    if (missing === undefined) this.complete()
+    else this.abortAsBroken(missing)
+  }
+
+  private complete (): void {
     this.finish()
     this.exchange.release()
     if (this.isStreaming) {
-      this.startResponse()
+      this.response.start(this.status, this.headers)
       this.listener.onEnded(this, this.isCloseDelimited ? Outcome.ended : Outcome.done, undefined)
     } else {
       this.times.lastReceivedAt = this.context.clock.now()
-      const { status, headers } = this
-      const result = { status, headers, body: this.body.toBuffer() }
-      this.listener.onEnded(this, classifyResponse(status, headers, this.context.headerNames), result)
+      const { status, headers, body } = this
+      const outcome = classifyResponse(status, headers, this.context.headerNames)
+      this.listener.onEnded(this, outcome, { status, headers, body: body.toBuffer() })
     }
   }
 
@@ -202,7 +206,7 @@
     let canContinue = true
     for (const event of events) if (event.isProgress) this.recordArrival()
     if (events.length > 0) {
-      this.startResponse()
+      this.response.start(this.status, this.headers)
       canContinue = this.response.write(Buffer.concat(events.map(event => event.bytes)))
     }
     if (!isValid) this.abortAsBroken('an event is missing or too long')
@@ -220,11 +224,6 @@
     })
   }
 
-  /** Starts the response to the caller. If a second server continues a stream, the headers of the first remain. */
-  private startResponse (): void {
-    if (!this.response.isStarted) this.response.start(this.status, this.headers)
-  }
-
   /** Records the time of an event, or of the headers of a response that is not streamed. */
   private recordArrival (): void {
     this.receiveLimit.recordEvent()
--- a/src/forward/eventsequencer.ts
+++ b/src/forward/eventsequencer.ts
@@ -25,6 +25,8 @@
 export class EventSequencer {
   private splitter = new EventSplitter(MAX_EVENT_BYTES)
   private partialBytes = 0
+  private progressCount = 0
+  private discardCount = 0
 
   /** @param lastId - id of the last event that the caller has, if any */
   constructor (private lastId: number | undefined) {}
@@ -44,8 +46,20 @@
     return this.splitter.bufferedBytes
   }
 
+  /** Whether the current response has added an event to the stream. */
+  get hasProgressed (): boolean {
+    return this.progressCount > 0
+  }
+
+  /** Whether an earlier response of the stream broke off. */
+  get isContinued (): boolean {
+    return this.discardCount > 0
+  }
+
   /** Discards a partial event, before another server continues the stream. */
   discardPartialEvent (): void {
+    this.discardCount++
+    this.progressCount = 0
     this.splitter = new EventSplitter(MAX_EVENT_BYTES)
     this.partialBytes = 0
   }
@@ -70,6 +84,7 @@
       }
       const isProgress = id !== undefined || (this.lastId === undefined && hasEventData(event))
       this.lastId = id ?? this.lastId
+      if (isProgress) this.progressCount++
       events.push({ bytes: event, isProgress })
     }
     return { events, isValid: true }
--- a/src/forward/headers.ts
+++ b/src/forward/headers.ts
@@ -47,10 +47,13 @@
 }
 
 /**
- * @param headers - the headers of a response
+ * @param method - the method of the request
+ * @param status - the status of the response
+ * @param headers - the headers of the response
  * @returns whether the end of the body is marked only by the end of the connection
  */
-export function isCloseDelimited (headers: RawHeaders): boolean {
+export function isCloseDelimited (method: string, status: number, headers: RawHeaders): boolean {
+  if (method === 'HEAD' || status === Status.noContent || status === Status.notModified) return false
   return findHeader(headers, 'content-length') === undefined && findHeader(headers, 'transfer-encoding') === undefined
 }
 
