Check whether the server goes on when its connection ends a response

Callers saw streams, and other bodies, that looked complete but were not: the process of a server ended between two events of a response with neither a length nor chunks. The system ends the connections of such a process in the ordinary way. In the users' record two streams of one server ended at the same moment.

When the end of its connection is the end of a response, the host opens a connection to the server and closes it. If it is refused, nobody listens any more, and the response is broken off; streams that may be resumed go on at another server. An unanswered connection proves nothing, and the response is complete. Ruled out: a check of the other open connections, which end at the same moment but are seen in any order; and no response without a length at all, since proper servers send them.

--- a/src/forward/directexchange.ts
+++ b/src/forward/directexchange.ts
@@ -1,8 +1,10 @@
 import type { Dispatcher as UndiciDispatcher } from 'undici'
+import { toError } from '../base/index.js'
 import type { ServerConnection } from './connection.js'
 import type { ConnectionPool } from './connectionpool.js'
 import type { Exchange, OutgoingRequest, ResponseHandler } from './exchange.js'
-import { findHeader } from './headers.js'
+import { findHeader, isCloseDelimited } from './headers.js'
+import { isRefused } from './probe.js'
 import type { Reachability } from './reachability.js'
 
 /** One request and its response over one connection. */
@@ -16,6 +18,7 @@
   private readonly attemptId: string | undefined
   /** Whether the response names the attempt, so that a late copy of it can be told from the next response. */
   private isIdentified = false
+  private isCloseDelimited = false
 
   /**
    * Sends a request.
@@ -32,7 +35,7 @@
     private readonly reachability: Reachability,
     private readonly address: string,
     private readonly attemptHeader: string,
-    request: OutgoingRequest,
+    private readonly request: OutgoingRequest,
     private readonly handler: ResponseHandler
   ) {
     this.attemptId = findHeader(request.headers, attemptHeader)
@@ -96,6 +99,7 @@
     if (this.isDone || status < 200) return true
     const fields = headers.map(field => field.toString('latin1'))
     this.isIdentified = this.attemptId === undefined || findHeader(fields, this.attemptHeader) === this.attemptId
+    this.isCloseDelimited = isCloseDelimited(this.request.method, status, fields)
     this.handler.onHead(status, fields)
     return true
   }
@@ -109,9 +113,21 @@
     if (this.isDone) return
     this.isDone = true
     if (this.connection.wasReset) this.handler.onFailure(new Error('the connection was reset'))
+    else if (this.isCloseDelimited) void this.endIfServerGoesOn()
     else this.handler.onEnd()
   }
 
+  /** The system also ends the connections of a process that is killed, which is not the end of the response. */
+  private async endIfServerGoesOn (): Promise<void> {
+    const hasServerEnded = await isRefused(this.address)
+    try {
+      if (hasServerEnded) this.handler.onFailure(new Error('the process of the server ended'))
+      else this.handler.onEnd()
+    } catch (thrown) {
+      this.handler.onFailure(toError(thrown))
+    }
+  }
+
   onError (error: Error): void {
     // The caller of the constructor can't handle the error before the constructor returns the exchange.
     if (!this.isConstructed) queueMicrotask(() => this.handleError(error))
