Answer each request of a host that stops, and send none late that may be cut off

A report of other operators: in a planned stop, requests that came late in the grace were passed on and cut with no answer at its end, among them requests that may not be repeated. It happened here too. Callers saw the end of their connection: of requests that waited for a slot all the while, of requests that got one late, and of requests whose bodies were complete late or never.

Cause: at the end of the grace time all connections were closed, whatever they carried; and only the head of a request was checked against the stop, not the moment at which it was passed on.

A streams that was sent early may still be cut off, without its last chunk.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -14,13 +14,10 @@
 import { SendLimit } from './sendlimit.js'
 import { Slots } from './slots.js'
 import { Status } from './status.js'
+import { isServerGone } from './servergone.js'
+import { STOPPING } from './stopping.js'
 import type { Transport } from './transport.js'
-
-/**
- * Silence after which a server that is no longer listed counts as lost, in milliseconds. A server that leaves
- * unannounced still responds for a few seconds.
- */
-const REMOVED_SERVER_SILENCE_MS = 3_000
+import { TransportChoice } from './transportchoice.js'
 
 /** One attempt of a caller, from its arrival to its final response. It is sent to one server at a time. */
 export class Attempt {
@@ -30,8 +27,7 @@
   private lostDelivery: Delivery | undefined
   private readonly sequencer: EventSequencer
   private readonly sendLimit: SendLimit
-  /** Transports that failed before the request was sent to the server of the current slot. */
-  private failedTransports: Transport[] = []
+  private readonly transportChoice: TransportChoice
   private readonly failedResponse: FailedResponse
   private isFinished = false
 
@@ -49,6 +45,7 @@
   ) {
     this.sequencer = new EventSequencer(request.lastEventId)
     this.sendLimit = new SendLimit(request, context.clock)
+    this.transportChoice = new TransportChoice(context.paths)
     this.slots = new Slots(context, request, chooseService(request.route, context.random.next()), {
       onPlacement: placement => this.handlePlacement(placement),
       onAlternative: (server, job) => this.leaveSilentServer(server, job),
@@ -73,10 +70,8 @@
 
   /** Ends the attempt after a step of it failed unexpectedly; it may have been sent by then. */
   abandon (): void {
-    if (this.isFinished) return
-    this.cancel()
     this.failedResponse.mayHaveRun = true
-    this.fail(Status.badGateway, 'the request could not be handled')
+    this.giveUp(Status.badGateway, 'the request could not be handled')
   }
 
   /**
@@ -87,26 +82,37 @@
   tick (now: number): void {
     if (this.isFinished) return
     this.delivery?.tick(now)
-    if (now >= this.request.deadlineAt) {
-      this.cancel()
-      if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
-      this.fail(Status.gatewayTimeout, 'no answer within the time that the route allows')
-    } else if (this.delivery?.isSilent(now) === true) this.handleSilence(this.delivery, now)
+    if (now >= this.request.deadlineAt) this.giveUp(Status.gatewayTimeout, 'no answer within the time of the route')
+    else if (this.delivery === undefined && this.isKeptBack) this.stop()
+    else if (this.delivery?.isSilent(now) === true) this.handleSilence(this.delivery, now)
     else this.slots.tick(now)
   }
 
+  /** Ends the attempt, with its final response, because its host stops. */
+  stop (): void {
+    this.giveUp(Status.unavailable, STOPPING, 0)
+  }
+
+  private giveUp (status: number, reason: string, retryAfterMs?: number): void {
+    if (this.isFinished) return
+    this.cancel()
+    if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
+    this.fail(status, reason, retryAfterMs)
+  }
+
+  /** Whether the host stops, and would cut off the response to a request that it sends now. */
+  private get isKeptBack (): boolean {
+    return !this.context.maySend() && !this.failedResponse.mayHaveRun
+  }
+
   /**
    * A silent server may be sound, so its response is awaited until another server is granted. The response ends earlier
    * only if the server is no longer listed.
    */
   private handleSilence (delivery: Delivery, now: number): void {
     if (delivery.exchange.isPathSound) this.slots.job?.reportSilent()
-    if (delivery.silenceMs(now) > REMOVED_SERVER_SILENCE_MS && !this.context.fleet.isCurrent(delivery.server)) {
-      delivery.abort()
-      this.handleLost(delivery, Outcome.silent)
-    } else if (this.sendLimit.canRepeat()) {
-      this.slots.requestAlternative(delivery.server.id, now)
-    }
+    if (isServerGone(delivery, this.context.fleet, now)) this.handleLost(delivery, Outcome.silent)
+    else if (this.sendLimit.canRepeat()) this.slots.requestAlternative(delivery.server.id, now)
   }
 
   /** @returns whether the request is sent to another server, which is so if it is usable and the first still silent */
@@ -115,7 +121,6 @@
     const server = this.context.fleet.findUsable(serverId, now)
     const { delivery } = this
     if (server === undefined || delivery?.isSilent(now) !== true) return false
-    delivery.abort()
     this.recordLost(delivery, Outcome.silent)
     this.send(server, job, this.context.paths.choose())
     return true
@@ -123,15 +128,13 @@
 
   private requestSlot (isRetry: boolean): void {
     this.delivery = undefined
-    this.failedTransports = []
-    this.slots.requestSlot(isRetry)
+    this.transportChoice.reset()
+    if (this.isKeptBack) this.stop()
+    else this.slots.requestSlot(isRetry)
   }
 
   private handlePlacement (placement: Placement): void {
-    if (placement.kind === 'refused') {
-      this.handleRefusal(placement.reason, placement.retryAfterMs)
-      return
-    }
+    if (placement.kind === 'refused') return this.handleRefusal(placement.reason, placement.retryAfterMs)
     this.slots.isCharged = true
     const server = this.context.fleet.findUsable(placement.server, this.context.clock.now())
     if (server === undefined) this.requestOtherSlot(placement.server)
@@ -165,10 +168,7 @@
       this.slots.job?.reportEnded(outcome)
       this.log('unsendable', { reason: delivery.failureReason })
       this.fail(Status.badRequest, 'the request can not be passed on')
-    } else {
-      if (outcome === Outcome.failed) this.failedResponse.serverFailure = result
-      this.handleLost(delivery, outcome)
-    }
+    } else this.handleLost(delivery, outcome, result)
   }
 
   private complete (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
@@ -181,9 +181,7 @@
 
   /** If this host's path to the server failed, the request is sent on another one with the same slot. */
   private async handleUnreachable (delivery: Delivery): Promise<void> {
-    const isPathSound = await delivery.exchange.verifyPath()
-    this.failedTransports.push(delivery.transport)
-    const transport = isPathSound ? undefined : await this.context.paths.chooseOther(this.failedTransports)
+    const transport = await this.transportChoice.chooseOther(delivery)
     if (this.isFinished || this.delivery !== delivery) return
     const server = this.context.fleet.findUsable(delivery.server.id, this.context.clock.now())
     if (transport === undefined) this.handleNotRun(delivery, Outcome.unreachable)
@@ -201,13 +199,15 @@
   }
 
   /** Handles a delivery without a usable response whose server may have run the request. */
-  private handleLost (delivery: Delivery, outcome: Outcome): void {
+  private handleLost (delivery: Delivery, outcome: Outcome, result?: BufferedResponse): void {
+    if (outcome === Outcome.failed) this.failedResponse.serverFailure = result
     this.recordLost(delivery, outcome)
     if (this.sendLimit.canRepeat()) this.requestSlot(true)
     else this.fail(Status.badGateway, 'the server gave no whole answer')
   }
 
   private recordLost (delivery: Delivery, outcome: Outcome): void {
+    delivery.abort()
     this.failedResponse.mayHaveRun = true
     this.lostDelivery = delivery
     reportFault(this.slots.job, delivery, outcome)
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -27,4 +27,6 @@
   isClosing (): boolean
   /** @returns whether new requests are accepted */
   isAccepting (): boolean
+  /** @returns whether requests that were not sent to a server yet may be sent */
+  maySend (): boolean
 }
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -7,12 +7,14 @@
 import { handleClientError } from './clienterror.js'
 import type { ForwardContext } from './context.js'
 import { findHeader } from './headers.js'
+import { readBody } from './requestbody.js'
 import type { ReceivedRequest } from './receivedrequest.js'
 import {
   computeFingerprint, estimateOutputTokens, headerBlockBytes, matchRoute, parseSharedPromptParts, parseTokenUsage,
   quotaUnits, type RouteMatch
 } from './requestfields.js'
 import { Status } from './status.js'
+import { STOPPING } from './stopping.js'
 
 /** Longest header block that Node parses, in bytes; the deployment's own limit is lower. */
 const MAX_HEADER_BYTES = 64 << 10
@@ -42,7 +44,7 @@
 export class Ingress {
   private readonly server: Server
   private readonly attempts = new Set<Attempt>()
-  private readonly activeResponses = new Set<ServerResponse>()
+  private readonly activeResponses = new Map<ServerResponse, CallerResponse>()
 
   /** @param context - what the handling of requests depends on */
   constructor (private readonly context: ForwardContext) {
@@ -92,6 +94,14 @@
     }
   }
 
+  /** Gives all requests without a response their final one, those whose body is not complete too. */
+  giveUp (): void {
+    for (const attempt of this.attempts) attempt.stop()
+    for (const response of this.activeResponses.values()) {
+      if (!response.isStarted) response.sendText(Status.unavailable, STOPPING, 0)
+    }
+  }
+
   /** Stops listening and closes connections that carry no request. */
   stopAccepting (): void {
     this.server.close()
@@ -116,11 +126,11 @@
     const echoedHeader = attemptId === undefined ? undefined : [names.attemptId, attemptId] as const
     const response = new CallerResponse(rawResponse, echoedHeader, () => this.context.isClosing(),
       () => this.hasOtherRequest(rawResponse))
-    this.activeResponses.add(rawResponse)
+    this.activeResponses.set(rawResponse, response)
     rawResponse.on('close', () => this.activeResponses.delete(rawResponse))
     const deployment = this.context.deployment()
     if (!this.context.isAccepting()) {
-      this.reject(message, response, Status.unavailable, 'this host stops', 0)
+      this.reject(message, response, Status.unavailable, STOPPING, 0)
       return
     }
     if (deployment === undefined) this.waitForDeployment({ message, response, attemptId, arrivedAt, rawResponse })
@@ -130,8 +140,7 @@
   /** Whether another request of the same connection awaits its response. */
   private hasOtherRequest (rawResponse: ServerResponse): boolean {
     const { socket } = rawResponse.req
-    for (const other of this.activeResponses) if (other !== rawResponse && other.req.socket === socket) return true
-    return false
+    return [...this.activeResponses.keys()].some(other => other !== rawResponse && other.req.socket === socket)
   }
 
   /** Delays a request that arrives right after the host's start: the deployment is usually known in milliseconds. */
@@ -171,8 +180,10 @@
       this.reject(message, response, Status.contentTooLarge, 'the body is too long')
       return
     }
-    this.readBody(message, response, bodyBytes, body => {
-      this.startAttempt(this.buildRequest(message, attemptId, body, match, arrivedAt), response, rawResponse)
+    readBody(message, response, bodyBytes, body => {
+      if (this.context.maySend()) {
+        this.startAttempt(this.buildRequest(message, attemptId, body, match, arrivedAt), response, rawResponse)
+      } else response.sendText(Status.unavailable, STOPPING, 0)
     })
   }
 
@@ -185,23 +196,6 @@
     message.resume()
   }
 
-  private readBody (
-    message: IncomingMessage, response: CallerResponse, maxBytes: number, onBody: (body: Buffer) => void
-  ): void {
-    const chunks: Buffer[] = []
-    let bytes = 0
-    message.on('data', (chunk: Buffer) => {
-      bytes += chunk.length
-      if (bytes <= maxBytes) chunks.push(chunk)
-      else if (!response.isClosed) response.sendText(Status.contentTooLarge, 'the body is too long')
-    })
-    message.on('end', () => {
-      if (!response.isClosed) onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))
-    })
-    // If the caller disconnects while it sends the body, there is no attempt to cancel yet.
-    message.on('error', () => undefined)
-  }
-
   private startAttempt (request: CallerRequest, response: CallerResponse, rawResponse: ServerResponse): void {
     const attempt = new Attempt(this.context, request, response, finished => this.attempts.delete(finished))
     this.attempts.add(attempt)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,7 +7,7 @@
 import { MemberEvictor } from './memberevictor.js'
 import { CrashLog } from './crashlog.js'
 import { Directory } from './directory.js'
-import { drain } from './drain.js'
+import { Drain } from './drain.js'
 import { computeHostShares, linkedHosts } from './hostshares.js'
 import { computeIdleLimits } from './idlelimits.js'
 import { MigrationController } from './migrationcontroller.js'
@@ -37,9 +37,7 @@
   private readonly ingress: Ingress
   private readonly directory: Directory
   private readonly migrationController: MigrationController
-  private isStopping = false
-  /** Whether connections of callers are accepted; stays true for a while after the stop has begun. */
-  private isAccepting = true
+  private readonly drain = new Drain()
   private refreshedAt = 0
   private publishedAt = 0
   private isRefreshScheduled = false
@@ -73,7 +71,7 @@
     const random = new SystemRandom()
     const bufferBudget = new BufferBudget()
     const { headerNames } = platform
-    const isAccepting = (): boolean => !this.isStopping
+    const isAccepting = (): boolean => !this.drain.isStopping
     this.serverPaths = new ServerPaths(settings, { headerNames, fleet, bufferBudget, random, clock, log, isAccepting })
     this.migrationController = new MigrationController(platform, scheduler.migrations, log)
     this.hub = new Hub(scheduler, gossip, clock, () => this.updateHostShares(),
@@ -95,19 +93,20 @@
       random,
       log,
       deployment: () => this.directory.deployment,
-      isClosing: () => this.isStopping,
-      isAccepting: () => this.isAccepting
+      isClosing: () => this.drain.isStopping,
+      isAccepting: () => this.drain.isAccepting,
+      maySend: () => this.drain.maySend
     })
   }
 
   /** Whether the load balancer may send new connections of callers to this host. */
   get isReady (): boolean {
-    return !this.isStopping && this.directory.isReady
+    return !this.drain.isStopping && this.directory.isReady
   }
 
   /** @returns the state of this process, for diagnosis by operators */
   dump (): Readonly<Record<string, unknown>> {
-    const { directory, schedulerSelector, hub, isReady, isStopping } = this
+    const { directory, schedulerSelector, hub, isReady, drain: { isStopping } } = this
     return {
       isReady,
       isStopping,
@@ -142,18 +141,16 @@
 
   /** Stops gracefully: leaves the members, stops accepting connections, closes when all requests are answered. */
   async stop (): Promise<void> {
-    if (this.isStopping) return
-    this.isStopping = true
+    if (this.drain.isStopping) return
     this.log.info({ event: 'stopping', requests: this.ingress.activeRequestCount }, 'stopping')
-    void this.directory.membership.leave()
-    this.membersChanged()
-    await drain({
+    const drained = this.drain.run({
       activeRequestCount: () => this.ingress.activeRequestCount + this.serverPaths.relayService.activeRequestCount,
-      stopAccepting: () => {
-        this.ingress.stopAccepting()
-        this.isAccepting = false
-      }
+      stopAccepting: () => this.ingress.stopAccepting(),
+      giveUp: () => this.ingress.giveUp()
     }, this.settings.graceMs, this.clock)
+    void this.directory.membership.leave()
+    this.membersChanged()
+    await drained
     this.log.info({ event: 'stopped', requests: this.ingress.activeRequestCount }, 'stopped')
     await this.close()
   }
--- a/test/rawcaller.ts
+++ b/test/rawcaller.ts
@@ -18,6 +18,8 @@
   readonly version?: string
   readonly deadlineMs?: number
   readonly headers?: readonly string[]
+  /** Body of a POST request, whose last byte follows when the promise is resolved; GET without a body if left out. */
+  readonly body?: { readonly text: string, readonly untilLast: Promise<unknown> }
   /** Whether to read; a caller that does not reads once the promise `untilRead` is resolved. */
   readonly untilRead?: Promise<unknown>
 }
@@ -30,12 +32,14 @@
  * @returns what was received
  */
 export async function sendRaw (address: string, request: RawRequest): Promise<Received> {
-  const { target, attemptId, version = '1.1', deadlineMs = 10_000, headers = ['Connection: close'], untilRead } = request
+  const { target, attemptId, version = '1.1', deadlineMs = 10_000, headers = ['Connection: close'], untilRead, body } = request
   const [ip, port] = address.split(':')
   const socket = connect(Number(port), ip)
-  const lines = [`GET ${target} HTTP/${version}`, 'Host: a.example', `Attempt-Id: ${attemptId}`,
-    `Deadline-Ms: ${deadlineMs}`, ...headers]
-  socket.write(`${lines.join('\r\n')}\r\n\r\n`)
+  const lines = [`${body === undefined ? 'GET' : 'POST'} ${target} HTTP/${version}`, 'Host: a.example',
+    `Attempt-Id: ${attemptId}`, `Deadline-Ms: ${deadlineMs}`, ...headers]
+  if (body !== undefined) lines.push(`Content-Length: ${body.text.length}`)
+  socket.write(`${lines.join('\r\n')}\r\n\r\n${body?.text.slice(0, -1) ?? ''}`)
+  void body?.untilLast.then(() => socket.write(body.text.slice(-1)))
   const chunks: Buffer[] = []
   let wasReset = false
   if (untilRead !== undefined) {
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -158,7 +158,8 @@
       log: this.log.logger,
       deployment: () => currentDeployment,
       isClosing: () => this.isClosing,
-      isAccepting: () => this.isAccepting
+      isAccepting: () => this.isAccepting,
+      maySend: () => true
     })
     ingress.setLimits(currentDeployment.limits)
     this.port = await ingress.listen('127.0.0.1', 0)
