--- a/test/earlyends.test.ts
+++ b/test/earlyends.test.ts
@@ -122,7 +122,7 @@
     fleet = await HostFleet.start(hostCount, firstPort, (request, index, socket) => {
       if (request.startsWith('GET /warm/')) answer(request, index, socket)
       else script(request, index, socket)
-    }, [], undefined, SERVERS)
+    }, [], { serverCount: SERVERS })
     fleet.putConfig(2, [
       { prefix: '/warm/', kind: 'safe' },
       { prefix: '/safe/', kind: 'safe' },
--- a/test/endlessmemory.test.ts
+++ b/test/endlessmemory.test.ts
@@ -1,5 +1,4 @@
 import { spawn } from 'node:child_process'
-import { readFileSync } from 'node:fs'
 import { before, describe, it } from 'node:test'
 import { expect } from 'earl'
 import { SeededRandom } from '../src/base/index.js'
@@ -7,6 +6,7 @@
 import { BodyBuffer } from '../src/forward/bodybuffer.js'
 import { BufferBudget, type BufferOwner } from '../src/forward/index.js'
 import type { FloodResult } from './floodprocess.js'
+import { deployedOptions } from './hostprocess.js'
 
 const MEGABYTE = 1 << 20
 
@@ -35,12 +35,6 @@
   'one event in chunks of one byte'
 ]
 
-/** @returns the options of node that the deployed program is started with */
-function deployedOptions (): string[] {
-  const command = /^run = "node (.*)"$/m.exec(readFileSync('deploy/system.toml', 'utf8'))?.[1] ?? ''
-  return command.split(' ').filter(word => word.startsWith('--'))
-}
-
 /** Runs all cases in a process with the heap limits of the deployed program. */
 async function runFloods (): Promise<FloodResult[]> {
   const child = spawn(process.execPath, [...deployedOptions(), '--import', 'tsx', 'test/floodprocess.ts'])
--- a/test/hostfleet.ts
+++ b/test/hostfleet.ts
@@ -3,7 +3,9 @@
 import { join } from 'node:path'
 import { request } from 'undici'
 import { RowsStandin } from '../standins/rows.js'
-import { type HostProcess, isReady, killHostProcess, startHostProcess, stopHostProcess, waitFor } from './hostprocess.js'
+import {
+  type HostProcess, isReady, killHostProcess, startHostProcess, type ProcessLimits, stopHostProcess, waitFor
+} from './hostprocess.js'
 import { respond, type Script, ScriptedServer } from './scriptedserver.js'
 
 const SERVERS = 3
@@ -11,6 +13,9 @@
 /** Time until a server that was killed starts again, in milliseconds. */
 const SERVER_RESTART_MS = 300
 
+/** Longest body of a request, in bytes. */
+const MAX_BODY_BYTES = 10_000
+
 /** Name of the one service. */
 const SERVICE = 's'
 
@@ -37,6 +42,18 @@
   /** Whether a stream may be resumed; so if left out. */
   readonly isResumable?: boolean
   readonly timeoutMs?: number
+  readonly service?: string
+}
+
+/** What differs from the default. */
+export interface FleetOptions {
+  /** Path of the bundled program; that of this build if left out. */
+  readonly program?: string
+  readonly serverCount?: number
+  /** Limits of the host processes, which are then started with the options of the deployed program. */
+  readonly limits?: ProcessLimits
+  /** Longest body of a request, in bytes. */
+  readonly maxBodyBytes?: number
 }
 
 /** Processes of severable hosts before scripted servers of one service, with a store. */
@@ -48,21 +65,22 @@
   readonly statuses = new Map<string, number>()
   private lastAttempt = 0
 
-  private constructor (readonly store: RowsStandin, private readonly firstPort: number) {}
+  private constructor (
+    readonly store: RowsStandin, private readonly firstPort: number, private readonly options: FleetOptions
+  ) {}
 
   /**
    * @param hostCount - number of hosts
    * @param firstPort - first port of the first host; fixed, since the settings name every port, as on the platform
    * @param script - what the servers do
    * @param kinds - retry safety of the routes as the platform names it; each is the prefix of its route
-   * @param program - path of the bundled program; that of this build if left out
-   * @param serverCount - number of servers
+   * @param options - what differs from the default
    */
   static async start (
-    hostCount: number, firstPort: number, script: Script, kinds: readonly string[], program?: string,
-    serverCount = SERVERS
+    hostCount: number, firstPort: number, script: Script, kinds: readonly string[], options: FleetOptions = {}
   ): Promise<HostFleet> {
-    const fleet = new HostFleet(await RowsStandin.start(), firstPort)
+    const { program, serverCount = SERVERS } = options
+    const fleet = new HostFleet(await RowsStandin.start(), firstPort, options)
     const { servers, hosts } = fleet
     for (let index = 0; index < serverCount; index++) {
       servers.push(await ScriptedServer.start(script))
@@ -103,10 +121,10 @@
   }
 
   /** Writes the entry of a server. */
-  putServer (index: number, state: string): void {
+  putServer (index: number, state: string, service = SERVICE): void {
     const { address } = this.servers[index]!
     this.store.put('servers', `i-${index}`, {
-      service: SERVICE, address, zone: 'z', version: 'v1', slots: 8, state, born: 1
+      service, address, zone: 'z', version: 'v1', slots: 8, state, born: 1
     })
   }
 
@@ -128,21 +146,27 @@
   ): void {
     this.store.put('op', 'config', {
       version,
-      routes: routes.map(({ prefix, kind, isResumable = kind === 'streaming', timeoutMs = 1_500 }) => ({
+      routes: routes.map(({ prefix, kind, isResumable = kind === 'streaming', timeoutMs = 1_500, service = SERVICE }) => ({
         name: prefix,
         host: 'a.example',
         prefix,
         kind,
         timeout_ms: timeoutMs,
         target_latency_ms: 300,
-        service: SERVICE,
+        service,
         max_attempts: 2,
         resumable: isResumable,
         public: true
       })),
-      services: [{ name: SERVICE, max_connections: 100 }],
+      services: [...new Set([SERVICE, ...routes.map(({ service = SERVICE }) => service)])]
+        .map(name => ({ name, max_connections: 100 })),
       tenants: [],
-      limits: { max_header_bytes: 16384, max_body_bytes: 10000, header_timeout_ms: 3000, idle_timeout_ms: 5000 }
+      limits: {
+        max_header_bytes: 16384,
+        max_body_bytes: this.options.maxBodyBytes ?? MAX_BODY_BYTES,
+        header_timeout_ms: 3000,
+        idle_timeout_ms: 5000
+      }
     })
   }
 
@@ -183,7 +207,7 @@
       storeAddress: store.address,
       budgetSlack: 50,
       isFirstStart,
-      isSeverable: true,
+      ...this.options.limits === undefined ? { isSeverable: true } : { limits: this.options.limits },
       ...(program === undefined ? {} : { program })
     })
   }
--- a/test/hostprocess.ts
+++ b/test/hostprocess.ts
@@ -1,5 +1,5 @@
 import { type ChildProcess, spawn } from 'node:child_process'
-import { writeFileSync } from 'node:fs'
+import { readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { expect } from 'earl'
 import { request } from 'undici'
@@ -17,6 +17,18 @@
   output: string
 }
 
+/** What the platform states that a process may use. */
+export interface ProcessLimits {
+  readonly memoryMb: number
+  readonly maxFds: number
+}
+
+/** @returns the options of node that the deployed program is started with */
+export function deployedOptions (): string[] {
+  const command = /^run = "node (.*)"$/m.exec(readFileSync('deploy/system.toml', 'utf8'))?.[1] ?? ''
+  return command.split(' ').filter(word => word.startsWith('--'))
+}
+
 /** Values that the settings file of a host is written from. */
 export interface HostProcessSpec {
   /** Directory of the settings file. */
@@ -33,6 +45,8 @@
   readonly isSeverable?: boolean
   /** Path of the bundled program; that of this build if left out. */
   readonly program?: string
+  /** Limits, with which the process is started as deployed; none are stated if left out. */
+  readonly limits?: ProcessLimits
 }
 
 /**
@@ -51,12 +65,16 @@
     '[listen]', `front = "127.0.0.1:${port}"`, `readiness = "127.0.0.1:${port + 1}"`,
     '[bounds]', 'grace_s = 5', 'retry_budget_ratio = 0.2', 'retry_window_s = 10', `budget_slack = ${spec.budgetSlack}`,
     'quota_overshoot = 0.1', 'quota_slack = 1000', 'exposure_share = 0.1', 'exposure_slack = 50',
-    '[platform]', `address = "${storeAddress}"`
+    '[platform]', `address = "${storeAddress}"`,
+    ...spec.limits === undefined
+      ? []
+      : ['[limits]', 'cpu_share = 1.0', `memory_mb = ${spec.limits.memoryMb}`, `max_fds = ${spec.limits.maxFds}`]
   ].join('\n'))
   const env = { ...process.env, MARIGOLDVALVE_CONFIG: settings, SEVERABLE_IP: `127.0.0.${index + 2}` }
   const { isSeverable = false, program = 'target/marigoldvalve.cjs' } = spec
   const preload = isSeverable ? ['--require', './test/severedsockets.cjs'] : []
-  const child = spawn(process.execPath, [...preload, program], {
+  const nodeOptions = spec.limits === undefined ? [] : deployedOptions()
+  const child = spawn(process.execPath, [...preload, ...nodeOptions, program], {
     env, stdio: isSeverable ? ['ignore', 'pipe', 'pipe', 'ipc'] : ['ignore', 'pipe', 'pipe']
   })
   const host = {
--- a/test/mixedbuilds.test.ts
+++ b/test/mixedbuilds.test.ts
@@ -81,7 +81,7 @@
   it('serve requests while one build replaces the other host by host, and is taken back', async () => {
     if (landed === undefined) return
     runs = new Map()
-    fleet = await HostFleet.start(HOSTS, FIRST_PORT, answer, ['unsafe'], landed.path)
+    fleet = await HostFleet.start(HOSTS, FIRST_PORT, answer, ['unsafe'], { program: landed.path })
     for (let index = 0; index < HOSTS; index++) {
       await checkDuring(() => fleet!.replaceHost(index))
       fleet.putConfig(index + 2, [{ prefix: '/unsafe/', kind: 'unsafe' }])
--- a/tools/test.js
+++ b/tools/test.js
@@ -16,6 +16,11 @@
   return new Set(lines.filter(line => line.startsWith('test: ')).map(line => line.slice('test: '.length).trim()))
 }
 
+/** Tests of the memory of processes, which other load would disturb: they run after all others, one file at a time. */
+function measuresMemory (file) {
+  return file.endsWith('.memory.test.ts')
+}
+
 /** Formats the error of a failed test. */
 function formatError (error) {
   const cause = error?.cause
@@ -28,28 +33,39 @@
 const knownFailures = readKnownFailures()
 const counts = { passed: 0, failed: 0, knownFailed: 0 }
 
-run({ files, concurrency: 2 })
-  .on('test:pass', event => {
-    if (event.details?.type === 'suite' || files.some(file => event.name.endsWith(file))) return
-    counts.passed++
-    if (knownFailures.has(event.name)) process.stdout.write(`known red, but passed: ${event.name}\n`)
-  })
-  .on('test:fail', event => {
-    if (event.details?.type === 'suite') return
-    const isFile = files.some(file => event.name.endsWith(file))
-    if (isFile && event.details?.error?.failureType === 'subtestsFailed') return
-    if (knownFailures.has(event.name)) {
-      counts.knownFailed++
-      process.stdout.write(`known red: ${event.name}\n`)
+/** Runs files, and counts and prints the results. */
+function runFiles (group, concurrency) {
+  return new Promise(resolve => {
+    if (group.length === 0) {
+      resolve()
       return
     }
-    counts.failed++
-    process.stdout.write(`FAILED: ${event.name} (${event.file ?? ''})\n${formatError(event.details?.error)}\n`)
+    run({ files: group, concurrency })
+      .on('test:pass', event => {
+        if (event.details?.type === 'suite' || files.some(file => event.name.endsWith(file))) return
+        counts.passed++
+        if (knownFailures.has(event.name)) process.stdout.write(`known red, but passed: ${event.name}\n`)
+      })
+      .on('test:fail', event => {
+        if (event.details?.type === 'suite') return
+        const isFile = files.some(file => event.name.endsWith(file))
+        if (isFile && event.details?.error?.failureType === 'subtestsFailed') return
+        if (knownFailures.has(event.name)) {
+          counts.knownFailed++
+          process.stdout.write(`known red: ${event.name}\n`)
+          return
+        }
+        counts.failed++
+        process.stdout.write(`FAILED: ${event.name} (${event.file ?? ''})\n${formatError(event.details?.error)}\n`)
+      })
+      .on('test:stderr', event => process.stderr.write(event.message))
+      .on('end', resolve)
+      .resume()
   })
-  .on('test:stderr', event => process.stderr.write(event.message))
-  .on('end', () => {
-    if (counts.knownFailed > 0) process.stdout.write(`${counts.knownFailed} known red passed over\n`)
-    process.stdout.write(`${counts.passed} passed, ${counts.failed} failed\n`)
-    process.exitCode = counts.failed > 0 || counts.passed === 0 ? 1 : 0
-  })
-  .resume()
+}
+
+await runFiles(files.filter(file => !measuresMemory(file)), 2)
+await runFiles(files.filter(measuresMemory), 1)
+if (counts.knownFailed > 0) process.stdout.write(`${counts.knownFailed} known red passed over\n`)
+process.stdout.write(`${counts.passed} passed, ${counts.failed} failed\n`)
+process.exitCode = counts.failed > 0 || counts.passed === 0 ? 1 : 0
