Limit the memory of requests, responses and connections to a share of what is stated

Callers that do not behave ended a process: it ran out of memory. Many bodies of legal size, whole, in pieces or in chunks, that stop short of their end; bodies far over the limit; requests that wait; connections without a request.

Cause: only parts of responses had a budget, of a fixed size. Bodies were kept as received, one buffer object for each chunk (61 connections with bodies of 100 KB in chunks of one byte used up the heap), and had no limit together. Refused bodies were read without end. Connections were not limited, nor the requests of one. Freed buffers stayed until V8 collected them, after some 64 MB.

One budget counts what is really allocated for bodies, incomplete heads, requests until their response, and responses that are received or not read; it is an eighth of the memory that the platform states. The largest holder gives way, and requests that have not run four times as readily as responses; a quarter is kept for small parts. Connections have a limit from the stated memory and descriptors, and idle ones give way first.

Ruled out: pausing connections, since the system goes on receiving for each of them; a limit on the framing of chunks, since a body of legal size in small chunks is to be served in calm.

The test of the budget's order uses the same sizes; large parts have three quarters of it now.

--- a/src/dispatch/listener.ts
+++ b/src/dispatch/listener.ts
@@ -6,6 +6,9 @@
 import { type Ask, type Asks, Dispatch, type Reply } from './dispatch_pb.js'
 import type { Hub } from './hub.js'
 
+/** Messages from other hosts that are larger are rejected, in bytes. */
+const MAX_MESSAGE_BYTES = 16 << 20
+
 /** Accepts connections of other hosts to the scheduler of this process, and to its other services. */
 export class DispatchListener {
   private readonly server: Http2Server
@@ -21,6 +24,7 @@
         router.service(Dispatch, { link: (asks, context) => this.serveLink(asks, context.signal) })
         registerOthers(router)
       },
+      readMaxBytes: MAX_MESSAGE_BYTES,
       acceptCompression: []
     }))
     this.server.on('session', session => {
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -83,28 +83,30 @@
     if (this.isFinished) return
     this.delivery?.tick(now)
     if (now >= this.request.deadlineAt) this.giveUp(Status.gatewayTimeout, 'no answer within the time of the route')
-    else if (this.delivery === undefined && this.isKeptBack) this.stop()
+    else if (this.isWaiting && !this.context.maySend()) this.giveUp(Status.unavailable, STOPPING, 0)
     else if (this.delivery?.isSilent(now) === true) this.handleSilence(this.delivery, now)
     else this.slots.tick(now)
   }
 
-  /** Ends the attempt, with its final response, because its host stops. */
-  stop (): void {
-    this.giveUp(Status.unavailable, STOPPING, 0)
+  /** Whether the request was not sent to a server. */
+  get isWaiting (): boolean {
+    return this.delivery === undefined && !this.failedResponse.mayHaveRun
   }
 
-  private giveUp (status: number, reason: string, retryAfterMs?: number): void {
+  /**
+   * Ends the attempt with its final response.
+   *
+   * @param status - the HTTP status, which is replaced by another one if a server may have run the request
+   * @param reason - a short explanation
+   * @param retryAfterMs - time after which the caller may retry if the request did not run, in milliseconds
+   */
+  giveUp (status: number, reason: string, retryAfterMs?: number): void {
     if (this.isFinished) return
     this.cancel()
     if (this.delivery?.wasSent === true) this.failedResponse.mayHaveRun = true
     this.fail(status, reason, retryAfterMs)
   }
 
-  /** Whether the host stops, and would cut off the response to a request that it sends now. */
-  private get isKeptBack (): boolean {
-    return !this.context.maySend() && !this.failedResponse.mayHaveRun
-  }
-
   /**
    * A silent server may be sound, so its response is awaited until another server is granted. The response ends earlier
    * only if the server is no longer listed.
@@ -128,14 +130,12 @@
 
   private requestSlot (isRetry: boolean): void {
     this.delivery = undefined
-    this.transportChoice.reset()
-    if (this.isKeptBack) this.stop()
+    if (this.isWaiting && !this.context.maySend()) this.giveUp(Status.unavailable, STOPPING, 0)
     else this.slots.requestSlot(isRetry)
   }
 
   private handlePlacement (placement: Placement): void {
     if (placement.kind === 'refused') return this.handleRefusal(placement.reason, placement.retryAfterMs)
-    this.slots.isCharged = true
     const server = this.context.fleet.findUsable(placement.server, this.context.clock.now())
     if (server === undefined) this.requestOtherSlot(placement.server)
     else this.send(server, this.slots.job!, this.context.paths.choose())
--- a/src/forward/callerresponse.ts
+++ b/src/forward/callerresponse.ts
@@ -1,14 +1,21 @@
 import type { ServerResponse } from 'node:http'
+import type { BufferBudget, BufferOwner } from './bufferbudget.js'
 import { findHeader, type RawHeaders } from './headers.js'
 import { Status } from './status.js'
+import { YieldWeight } from './yieldweight.js'
 
 /** Statuses whose responses have neither a body nor a Content-Length, by RFC 9110. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([Status.noContent, Status.notModified])
 
+/** Unread part of a response from which it is counted, in bytes; the buffer of a connection holds as much. */
+const MIN_UNREAD_BYTES = 16 << 10
+
 /** The response to one request of a caller. */
-export class CallerResponse {
+export class CallerResponse implements BufferOwner {
+  readonly yieldWeight = YieldWeight.response
   /** Whether the caller disconnected before the response was complete. */
   hasCallerDisconnected = false
+  private isLast = false
   /** Media type of the response that was started. */
   private mediaType = ''
 
@@ -18,17 +25,21 @@
    *   undefined if the caller did not send it
    * @param isClosing - whether the connection is to be closed after this response
    * @param hasOtherRequest - whether another request of the connection awaits its response
+   * @param budget - the memory of all requests and responses; counts what the caller has not read
    */
   constructor (
     private readonly response: ServerResponse,
     private readonly echoedHeader: readonly [string, string] | undefined,
     private readonly isClosing: () => boolean,
-    hasOtherRequest: () => boolean
+    hasOtherRequest: () => boolean,
+    private readonly budget: BufferBudget
   ) {
     response.sendDate = false
     // Node attaches the socket to a pipelined response late, and detaches it before other listeners of 'finish' run.
     const { socket } = response.req
+    response.once('close', () => this.budget.set(this, 0))
     response.on('finish', () => {
+      this.budget.set(this, 0)
       // A response that started before shutdown carries no "Connection: close" header.
       if (isClosing() && !hasOtherRequest()) socket.end()
     })
@@ -72,12 +83,27 @@
    * @returns whether more can be written without waiting for a drain
    */
   write (bytes: Buffer): boolean {
-    return this.response.write(bytes)
+    const canContinue = this.response.write(bytes)
+    this.countUnread()
+    return canContinue
   }
 
   /** @param listener - called once when more can be written */
   onDrain (listener: () => void): void {
-    this.response.once('drain', listener)
+    this.response.once('drain', () => {
+      this.countUnread()
+      listener()
+    })
+  }
+
+  /** Closes the connection when the response has ended. To be called before the response is sent. */
+  closeAfterEnd (): void {
+    this.isLast = true
+  }
+
+  onBufferExhausted (): void {
+    this.response.socket?.destroy()
+    this.response.destroy()
   }
 
   /** Completes a response that was started. */
@@ -97,6 +123,7 @@
     const length = BODILESS_STATUSES.has(status) ? [] : ['Content-Length', String(body.length)]
     this.writeHead(status, [...headers, ...length])
     this.response.end(body)
+    this.countUnread()
   }
 
   /**
@@ -118,8 +145,15 @@
     this.response.destroy()
   }
 
+  /** Counts what was written, and the system has not taken since the caller does not read. */
+  private countUnread (): void {
+    if (this.response.writableFinished) return
+    const unreadBytes = this.response.writableLength
+    this.budget.set(this, unreadBytes < MIN_UNREAD_BYTES ? 0 : unreadBytes)
+  }
+
   private writeHead (status: number, headers: string[]): void {
-    if (this.isClosing()) headers.push('Connection', 'close')
+    if (this.isClosing() || this.isLast) headers.push('Connection', 'close')
     this.response.writeHead(status, headers)
   }
 }
--- a/src/forward/context.ts
+++ b/src/forward/context.ts
@@ -16,6 +16,8 @@
   readonly fleet: Fleet
   readonly paths: Paths
   readonly bufferBudget: BufferBudget
+  /** Most connections of callers. */
+  readonly maxConnections: number
   readonly dispatcher: Dispatcher
   /** Clock of monotonic time. */
   readonly clock: Clock
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -18,6 +18,7 @@
 import { readServerStatement } from './serverstatement.js'
 import { isSuccess, Status } from './status.js'
 import type { Transport } from './transport.js'
+import { YieldWeight } from './yieldweight.js'
 
 /** Least time without data after which a server is silent, in milliseconds; twice the latency objective if longer. */
 const MIN_SILENCE_MS = 1_000
@@ -42,6 +43,7 @@
   /** Whether reading is paused until the caller has read what was forwarded. */
   private isWaitingForCaller = false
   private isFinished = false
+  readonly yieldWeight = YieldWeight.response
 
   /**
    * Sends a request to a server.
@@ -156,7 +158,7 @@
     else if (this.isStreaming) return this.forwardEvents(bytes)
     else {
       this.body.append(bytes)
-      this.context.bufferBudget.set(this, this.body.capacity)
+      this.context.bufferBudget.set(this, this.body.capacity, bytes.length)
     }
     return true
   }
@@ -197,7 +199,7 @@
   }
 
   onBufferExhausted (): void {
-    this.abortAsBroken('the buffers of all responses are full, and this one is the largest')
+    this.abortAsBroken('no memory for the response')
   }
 
   /** @returns whether to continue reading at once */
--- a/src/forward/ingress.ts
+++ b/src/forward/ingress.ts
@@ -3,16 +3,16 @@
 import { type CallerLimits, type Deployment, RetrySafety } from '../routing/index.js'
 import { Attempt } from './attempt.js'
 import type { CallerRequest } from './callerrequest.js'
+import { buildCallerRequest } from './buildcallerrequest.js'
+import { CallerConnections } from './callerconnections.js'
 import { CallerResponse } from './callerresponse.js'
 import { handleClientError } from './clienterror.js'
 import type { ForwardContext } from './context.js'
 import { findHeader } from './headers.js'
-import { readBody } from './requestbody.js'
+import { HeldRequest } from './heldrequest.js'
+import { RequestBody } from './requestbody.js'
 import type { ReceivedRequest } from './receivedrequest.js'
-import {
-  computeFingerprint, estimateOutputTokens, headerBlockBytes, matchRoute, parseSharedPromptParts, parseTokenUsage,
-  quotaUnits, type RouteMatch
-} from './requestfields.js'
+import { headerBlockBytes, matchRoute } from './requestfields.js'
 import { Status } from './status.js'
 import { STOPPING } from './stopping.js'
 
@@ -37,13 +37,11 @@
 /** Retry-After of a host that knows no deployment yet, in milliseconds. */
 const DEPLOYMENT_RETRY_AFTER_MS = 300
 
-/** Deadline of requests that state none, in milliseconds after arrival. */
-const DEFAULT_DEADLINE_MS = 60_000
-
 /** HTTP server for callers' requests. */
 export class Ingress {
   private readonly server: Server
   private readonly attempts = new Set<Attempt>()
+  private readonly connections: CallerConnections
   private readonly activeResponses = new Map<ServerResponse, CallerResponse>()
 
   /** @param context - what the handling of requests depends on */
@@ -53,6 +51,8 @@
       connectionsCheckingInterval: CONNECTION_CHECK_MS,
       requestTimeout: 0
     }, (message, response) => this.handleRequest(message, response))
+    this.connections = new CallerConnections(context.maxConnections, context.bufferBudget)
+    this.server.on('connection', socket => this.connections.add(socket))
     this.server.on('clientError', handleClientError)
   }
 
@@ -82,6 +82,12 @@
     return this.activeResponses.size
   }
 
+  /** @returns the state, for a dump */
+  dump (): Readonly<Record<string, unknown>> {
+    const { activeRequestCount, connections, context: { bufferBudget } } = this
+    return { requests: activeRequestCount, connections: connections.count, buffers: bufferBudget.dump() }
+  }
+
   /**
    * Checks all attempts for deadlines and silent servers.
    *
@@ -89,6 +95,7 @@
    */
   tick (now: number): void {
     this.context.paths.tick()
+    this.connections.tick(now)
     for (const attempt of this.attempts) {
       if (!runSafely(this.context.log, { event: 'attempt-failed' }, () => attempt.tick(now))) attempt.abandon()
     }
@@ -96,7 +103,7 @@
 
   /** Gives all requests without a response their final one, those whose body is not complete too. */
   giveUp (): void {
-    for (const attempt of this.attempts) attempt.stop()
+    for (const attempt of this.attempts) attempt.giveUp(Status.unavailable, STOPPING, 0)
     for (const response of this.activeResponses.values()) {
       if (!response.isStarted) response.sendText(Status.unavailable, STOPPING, 0)
     }
@@ -120,21 +127,29 @@
       message.socket.destroy()
       return
     }
+    const connection = this.connections.begin(rawResponse)
+    if (connection === undefined) return
     const arrivedAt = this.context.clock.now()
     const { headerNames: names } = this.context
     const attemptId = findHeader(message.rawHeaders, names.attemptId)
     const echoedHeader = attemptId === undefined ? undefined : [names.attemptId, attemptId] as const
     const response = new CallerResponse(rawResponse, echoedHeader, () => this.context.isClosing(),
-      () => this.hasOtherRequest(rawResponse))
+      () => this.hasOtherRequest(rawResponse), this.context.bufferBudget)
     this.activeResponses.set(rawResponse, response)
-    rawResponse.on('close', () => this.activeResponses.delete(rawResponse))
+    rawResponse.once('close', () => {
+      this.activeResponses.delete(rawResponse)
+      this.connections.end(connection, rawResponse)
+    })
     const deployment = this.context.deployment()
+    const body = new RequestBody(message, response, this.context.bufferBudget)
     if (!this.context.isAccepting()) {
-      this.reject(message, response, Status.unavailable, STOPPING, 0)
+      this.reject(body, Status.unavailable, STOPPING, 0)
       return
     }
-    if (deployment === undefined) this.waitForDeployment({ message, response, attemptId, arrivedAt, rawResponse })
-    else this.route(deployment, { message, response, attemptId, arrivedAt, rawResponse })
+    connection.receiving = body
+    const request = { message, body, connection, response, arrivedAt, rawResponse }
+    if (deployment === undefined) this.waitForDeployment(request)
+    else this.route(deployment, request)
   }
 
   /** Whether another request of the same connection awaits its response. */
@@ -151,7 +166,7 @@
       if (deployment !== undefined) this.route(deployment, request)
       else if (this.context.clock.now() < giveUpAt) setTimeout(poll, DEPLOYMENT_POLL_MS)
       else {
-        this.reject(request.message, request.response, Status.unavailable, 'no deployment is known yet',
+        this.reject(request.body, Status.unavailable, 'no deployment is known yet',
           DEPLOYMENT_RETRY_AFTER_MS)
       }
     }
@@ -159,79 +174,50 @@
   }
 
   private route (deployment: Deployment, request: ReceivedRequest): void {
-    const { message, response, attemptId, arrivedAt, rawResponse } = request
+    const { message, body, connection, response, arrivedAt, rawResponse } = request
     const { headerNames: names } = this.context
     const { maxHeaderBytes: headerBytes, maxBodyBytes: bodyBytes } = deployment.limits
     if (headerBlockBytes(message.rawHeaders) > headerBytes) {
-      this.reject(message, response, Status.headersTooLarge, 'the headers are too long')
+      this.reject(body, Status.headersTooLarge, 'the headers are too long')
       return
     }
     const match = matchRoute(deployment, message, names.key)
     if (typeof match === 'number') {
-      this.reject(message, response, match, match === Status.notFound ? 'no such route' : 'the key is not known')
+      this.reject(body, match, match === Status.notFound ? 'no such route' : 'the key is not known')
       return
     }
     // HTTP/1.0 has no chunks, so a stream that was cut off could not be told from a complete one.
     if (match.route.retrySafety === RetrySafety.stream && message.httpVersion === '1.0') {
-      this.reject(message, response, Status.versionNotSupported, 'a stream needs HTTP/1.1')
+      this.reject(body, Status.versionNotSupported, 'a stream needs HTTP/1.1')
       return
     }
     if (Number(message.headers['content-length'] ?? 0) > bodyBytes) {
-      this.reject(message, response, Status.contentTooLarge, 'the body is too long')
+      this.reject(body, Status.contentTooLarge, 'the body is too long')
       return
     }
-    readBody(message, response, bodyBytes, body => {
+    body.read(bodyBytes, bytes => {
+      connection.receiving = undefined
       if (this.context.maySend()) {
-        this.startAttempt(this.buildRequest(message, attemptId, body, match, arrivedAt), response, rawResponse)
+        this.startAttempt(buildCallerRequest(names, message, bytes, match, arrivedAt), response, rawResponse)
       } else response.sendText(Status.unavailable, STOPPING, 0)
     })
   }
 
-  /** Responds before the body is read. The body is discarded, or the connection could not carry another request. */
-  private reject (
-    message: IncomingMessage, response: CallerResponse, status: number, reason: string, retryAfterMs?: number
-  ): void {
+  /** Responds before the body is read. */
+  private reject (body: RequestBody, status: number, reason: string, retryAfterMs?: number): void {
     this.context.log.debug({ event: 'rejected', status, reason }, 'rejected')
-    response.sendText(status, reason, retryAfterMs)
-    message.resume()
+    body.refuse(status, reason, retryAfterMs)
   }
 
   private startAttempt (request: CallerRequest, response: CallerResponse, rawResponse: ServerResponse): void {
-    const attempt = new Attempt(this.context, request, response, finished => this.attempts.delete(finished))
+    const attempt = new Attempt(this.context, request, response, finished => {
+      this.attempts.delete(finished)
+      held.release()
+    })
+    const held = new HeldRequest(this.context.bufferBudget, request, attempt)
     this.attempts.add(attempt)
-    rawResponse.on('close', () => { if (!rawResponse.writableFinished) attempt.handleDisconnect() })
+    held.hold()
+    rawResponse.once('close', () => { if (!rawResponse.writableFinished) attempt.handleDisconnect() })
     attempt.start()
   }
-
-  private buildRequest (
-    message: IncomingMessage, attemptId: string | undefined, body: Buffer, match: RouteMatch, arrivedAt: number
-  ): CallerRequest {
-    const { headerNames: names } = this.context
-    const headers = message.rawHeaders
-    const { route, organisation } = match
-    const [promptTokens, maxOutputTokens] = parseTokenUsage(findHeader(headers, names.tokenUsage))
-    const statedMs = Number(findHeader(headers, names.deadline) ?? DEFAULT_DEADLINE_MS)
-    const remainingMs = Number.isFinite(statedMs) ? statedMs : DEFAULT_DEADLINE_MS
-    // A caller that retries states less time than its route allows: the difference was spent on earlier attempts.
-    const spentMs = Math.max(0, route.timeoutMs - remainingMs)
-    const lastEventId = findHeader(headers, names.lastEventId)
-    return {
-      attemptId,
-      method: message.method ?? 'GET',
-      target: message.url ?? '/',
-      headers,
-      body,
-      fingerprint: computeFingerprint(message, organisation, body),
-      route,
-      organisation,
-      promptTokens,
-      sharedPromptParts: parseSharedPromptParts(findHeader(headers, names.promptParts)),
-      expectedTokens: estimateOutputTokens(maxOutputTokens, findHeader(headers, names.lengthHint)),
-      units: quotaUnits(organisation, promptTokens + maxOutputTokens),
-      lastEventId: lastEventId === undefined ? undefined : Number(lastEventId),
-      arrivedAt,
-      objectiveAt: arrivedAt - spentMs + route.objectiveMs,
-      deadlineAt: arrivedAt + Math.min(remainingMs, route.timeoutMs)
-    }
-  }
 }
--- a/src/forward/slots.ts
+++ b/src/forward/slots.ts
@@ -41,7 +41,7 @@
   /** Ids of the servers that may not be granted again. */
   readonly excludedServers: string[] = []
   /** Whether the request was charged to the organisation's quota already. */
-  isCharged = false
+  private isCharged = false
   /** The slot in use, or the request for it. */
   private current: JobHandle | undefined
   /** Request for a slot at another server, made while the current server is silent; that one may still respond. */
@@ -152,8 +152,10 @@
 
   private handlePlacement (job: JobHandle, placement: Placement): void {
     if (this.isClosed) job.reportEnded(Outcome.cancelled)
-    else if (job !== this.alternative) this.listener.onPlacement(placement)
-    else {
+    else if (job !== this.alternative) {
+      if (placement.kind !== 'refused') this.isCharged = true
+      this.listener.onPlacement(placement)
+    } else {
       this.alternative = undefined
       if (placement.kind === 'refused') return
       if (this.listener.onAlternative(placement.server, job)) this.current = job
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,12 +4,14 @@
 import { BufferBudget, Ingress } from '../forward/index.js'
 import type { Deployment } from '../routing/index.js'
 import { Scheduler } from '../schedule/index.js'
+import { BufferLog } from './bufferlog.js'
 import { MemberEvictor } from './memberevictor.js'
 import { CrashLog } from './crashlog.js'
 import { Directory } from './directory.js'
 import { Drain } from './drain.js'
 import { computeHostShares, linkedHosts } from './hostshares.js'
 import { computeIdleLimits } from './idlelimits.js'
+import { computeBufferBytes, computeMaxConnections } from './memorylimits.js'
 import { MigrationController } from './migrationcontroller.js'
 import type { Platform } from './platform.js'
 import { ReadinessServer } from './readiness.js'
@@ -69,7 +71,7 @@
     const { gossip, fleet } = this.directory
     const scheduler = new Scheduler(settings.limits, settings.isFirstStart, new CrashLog(log))
     const random = new SystemRandom()
-    const bufferBudget = new BufferBudget()
+    const bufferBudget = new BufferBudget(computeBufferBytes(settings.memoryBytes), new BufferLog(clock, log))
     const { headerNames } = platform
     const isAccepting = (): boolean => !this.drain.isStopping
     this.serverPaths = new ServerPaths(settings, { headerNames, fleet, bufferBudget, random, clock, log, isAccepting })
@@ -88,6 +90,7 @@
       fleet,
       paths: this.serverPaths.paths,
       bufferBudget,
+      maxConnections: computeMaxConnections(settings.memoryBytes, settings.maxDescriptors),
       dispatcher: this.dispatcher,
       clock,
       random,
@@ -113,7 +116,7 @@
       ...directory.dump(this.clock.now()),
       scheduler: schedulerSelector.schedulerHost,
       linkedHosts: hub.connectedProtocols,
-      requests: this.ingress.activeRequestCount,
+      ...this.ingress.dump(),
       paths: this.serverPaths.dump(),
       jobs: this.dispatcher.jobCount,
       schedule: hub.scheduler.dump(this.clock.now())
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -10,6 +10,10 @@
   readonly dataCentres: readonly string[]
   /** Processor cores that this host may use. */
   readonly cores: number
+  /** Memory that this process may use, in bytes. */
+  readonly memoryBytes: number
+  /** Descriptors that this process may use. */
+  readonly maxDescriptors: number
   /** Address for callers' connections. */
   readonly callers: Endpoint
   /** Address of the load balancer's check whether this host accepts new connections. */
--- a/src/relay/relayedrequest.ts
+++ b/src/relay/relayedrequest.ts
@@ -1,7 +1,7 @@
 import type { BackendServer } from '../fleet/index.js'
 import {
   type BufferOwner, type Exchange, type OutgoingRequest, type RawHeaders, readServerStatement, ReceiveLimit,
-  recordForHost, type ResponseHandler, Status
+  recordForHost, REQUEST_BYTES, type ResponseHandler, Status, YieldWeight
 } from '../forward/index.js'
 import type { RelayContext } from './context.js'
 import { EventQueue } from './eventqueue.js'
@@ -14,9 +14,11 @@
   readonly events = new EventQueue(queuedBytes => this.handleRead(queuedBytes))
   private readonly exchange: Exchange
   private readonly receiveLimit = new ReceiveLimit()
+  private readonly requestBytes: number
   private wasSent = false
   private isPaused = false
   private isFinished = false
+  readonly yieldWeight = YieldWeight.response
 
   /**
    * Sends the request.
@@ -28,6 +30,8 @@
   constructor (
     private readonly context: RelayContext, private readonly server: BackendServer, request: OutgoingRequest
   ) {
+    this.requestBytes = REQUEST_BYTES + (request.body?.length ?? 0)
+    context.bufferBudget.set(this, this.requestBytes)
     this.exchange = context.transport.send(server, request, this)
   }
 
@@ -64,7 +68,7 @@
     // The host that has the request limits the length of the body.
     this.receiveLimit.recordBody(bytes.length)
     this.events.push({ body: { case: 'data', value: bytes } }, bytes.length)
-    this.context.bufferBudget.set(this, this.events.bytes)
+    this.context.bufferBudget.set(this, this.requestBytes + this.events.bytes)
     this.isPaused = this.events.isFull
     return !this.isPaused
   }
@@ -91,7 +95,7 @@
   }
 
   onBufferExhausted (): void {
-    this.fail('the buffers of all responses are full, and this one is the largest')
+    this.fail('no memory for the response')
   }
 
   private async reportUnreachable (): Promise<void> {
@@ -114,7 +118,7 @@
 
   private handleRead (queuedBytes: number): void {
     if (this.isFinished) return
-    this.context.bufferBudget.set(this, queuedBytes)
+    this.context.bufferBudget.set(this, this.requestBytes + queuedBytes)
     if (!this.isPaused || this.events.isFull) return
     this.isPaused = false
     this.exchange.resume()
--- a/test/endlessmemory.test.ts
+++ b/test/endlessmemory.test.ts
@@ -10,6 +10,9 @@
 
 const MEGABYTE = 1 << 20
 
+/** Share of the buffer budget for large parts. */
+const LARGE_SHARE = 0.75
+
 /** Most memory that all responses in progress may use in a process that has 200 MB, of which it needs half idle. */
 const MAX_GROWTH_BYTES = 64 << 20
 
@@ -81,8 +84,8 @@
   // Guards against a sound response that is aborted because another server sends without end.
   it('aborts the largest response, not the one that grows last', () => {
     const aborted: string[] = []
-    const budget = new BufferBudget()
-    const owner = (name: string): BufferOwner => ({ onBufferExhausted: () => { aborted.push(name) } })
+    const budget = new BufferBudget(5 * MEGABYTE / LARGE_SHARE)
+    const owner = (name: string): BufferOwner => ({ yieldWeight: 1, onBufferExhausted: () => { aborted.push(name) } })
     const [small, large, larger] = [owner('small'), owner('large'), owner('larger')]
     budget.set(large, 1.5 * MEGABYTE)
     budget.set(larger, 2 * MEGABYTE)
--- a/test/relayrig.ts
+++ b/test/relayrig.ts
@@ -8,7 +8,7 @@
 import type { Deployment } from '../src/routing/index.js'
 import { Scheduler } from '../src/schedule/index.js'
 import { RecordedLog } from './recordedlog.js'
-import { HEADER_NAMES, Rig, type Script, type ScriptedServer, WIDE_LIMITS } from './rig.js'
+import { BUFFER_BYTES, HEADER_NAMES, Rig, type Script, type ScriptedServer, WIDE_LIMITS } from './rig.js'
 import { waitFor } from './testhost.js'
 
 const clock = new MonotonicClock()
@@ -36,7 +36,7 @@
       fleet: this.fleet,
       transport: new DirectTransport(this.pool, reachability, HEADER_NAMES.attemptId),
       reachability,
-      bufferBudget: new BufferBudget(),
+      bufferBudget: new BufferBudget(BUFFER_BYTES),
       clock,
       log: new RecordedLog().logger,
       isAccepting: () => this.isAccepting
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -39,6 +39,12 @@
 
 const IDLE_CONNECTIONS_PER_SERVER = 8
 
+/** Most connections of callers to a host. */
+const MAX_CONNECTIONS = 1_000
+
+/** Memory for the requests and responses of a host, in bytes. */
+export const BUFFER_BYTES = 16 << 20
+
 /** @returns a route with default properties, except for the given ones */
 export function route (overrides: Partial<Route> = {}): Route {
   return {
@@ -151,7 +157,8 @@
       paths: this.paths ?? {
         choose: () => direct, chooseOther: () => Promise.resolve(undefined), tick: () => reachability.tick()
       },
-      bufferBudget: new BufferBudget(),
+      bufferBudget: new BufferBudget(BUFFER_BYTES),
+      maxConnections: MAX_CONNECTIONS,
       dispatcher,
       clock: this.clock,
       random,
