End all requests of a connection that ends, not only the first

A crowd of callers that sends two requests on each connection, reads nothing and leaves held 401 MB of a process with 178 MB. The same cause let requests run on whose callers had left, and a planned stop wait for them (review, no case).

Cause: Node reports the end of a connection to the response that is being sent. Those queued behind it are told nothing; their attempts ran on, and their responses, which no socket takes, were kept for ever.

A caller's connection knows its unfinished responses and ends them all with itself.

--- a/src/forward/callerconnection.ts
+++ b/src/forward/callerconnection.ts
@@ -36,9 +36,16 @@
     this.budget.set(this, headBytes < MIN_HEAD_BYTES ? 0 : HEAD_FACTOR * headBytes)
   }
 
-  /** Counts nothing any more. */
+  /**
+   * Ends the responses of a connection that was closed. Node reports the end of the connection to the first of several
+   * responses only; the others would be kept for ever.
+   */
   close (): void {
     this.budget.set(this, 0)
+    for (const response of [...this.responses]) {
+      response.destroy()
+      response.emit('close')
+    }
   }
 
   onBufferExhausted (): void {
--- a/test/closing.test.ts
+++ b/test/closing.test.ts
@@ -79,3 +79,26 @@
     expect(started.servers[0]!.requests).toEqual([])
   })
 })
+
+describe('a connection with several requests that ends', () => {
+  let rig: Rig
+  afterEach(async () => { await rig.close() })
+
+  // Guards against requests that run on for nobody, and are kept for ever, behind the first of their connection.
+  it('ends all of its requests at their servers, and counts none any more', async () => {
+    const ended = new Set<string>()
+    const wait: Script = (request, _, socket) => {
+      socket.on('close', () => ended.add(/x-attempt: (\w+)/.exec(request)![1]!))
+    }
+    const started = await Rig.start(deployment(), wait)
+    rig = started.rig
+    const caller = await rig.connect()
+    for (const id of ['a1', 'a2', 'a3']) caller.send(['GET /a HTTP/1.1', `x-attempt: ${id}`])
+    await pause(100)
+    expect(started.servers[0]!.requests.length).toEqual(3)
+    caller.socket.destroy()
+    await pause(100)
+    expect([...ended].sort()).toEqual(['a1', 'a2', 'a3'])
+    expect(rig.activeRequestCount).toEqual(0)
+  })
+})
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -96,6 +96,7 @@
   private readonly scheduler = new Scheduler(WIDE_LIMITS)
   readonly servers: BackendServer[] = []
   private port = 0
+  private ingress: Ingress | undefined
 
   static async start (
     currentDeployment: Deployment, ...scripts: Script[]
@@ -170,6 +171,7 @@
     })
     ingress.setLimits(currentDeployment.limits)
     this.port = await ingress.listen('127.0.0.1', 0)
+    this.ingress = ingress
     this.lifecycle.onClose('connection pool', () => connectionPool.close())
     this.lifecycle.onClose('ingress', () => ingress.close())
     this.lifecycle.runEvery('ticks', 10, () => {
@@ -178,6 +180,11 @@
     })
   }
 
+  /** Number of requests whose response is not finished. */
+  get activeRequestCount (): number {
+    return this.ingress!.activeRequestCount
+  }
+
   /** Connects to the ingress as a caller. */
   async connect (): Promise<Caller> {
     const socket = connect(this.port, '127.0.0.1')
