Close the connection of a host that stops after its last response, not the first

closing.test.ts, 'closes the connection after the last response', failed before (one of three responses) and passes.

--- a/src/forward/callerresponse.ts
+++ b/src/forward/callerresponse.ts
@@ -31,7 +31,7 @@
     private readonly response: ServerResponse,
     private readonly echoedHeader: readonly [string, string] | undefined,
     private readonly isClosing: () => boolean,
-    hasOtherRequest: () => boolean,
+    private readonly hasOtherRequest: () => boolean,
     private readonly budget: BufferBudget
   ) {
     response.sendDate = false
@@ -153,7 +153,8 @@
   }
 
   private writeHead (status: number, headers: string[]): void {
-    if (this.isClosing() || this.isLast) headers.push('Connection', 'close')
+    // The other responses of the connection follow; it is closed after the last one.
+    if (this.isLast || (this.isClosing() && !this.hasOtherRequest())) headers.push('Connection', 'close')
     this.response.writeHead(status, headers)
   }
 }
--- a/test/closing.test.ts
+++ b/test/closing.test.ts
@@ -48,6 +48,27 @@
   })
 })
 
+describe('a stopping host with several requests of one connection', () => {
+  let rig: Rig
+  afterEach(async () => { await rig.close() })
+
+  // Guards against: the response to the first request ended the connection, and those sent on behind it had none.
+  it('closes the connection after the last response', async () => {
+    const started = await Rig.start(deployment(), (request, _, socket) => {
+      const id = /x-attempt: (\w+)/.exec(request)![1]!
+      setTimeout(() => respond(socket, '200 OK', id, [`x-attempt: ${id}`]), 100)
+    })
+    rig = started.rig
+    const caller = await rig.connect()
+    for (const id of ['a1', 'a2', 'a3']) caller.send(['POST /a HTTP/1.1', `x-attempt: ${id}`], 'x')
+    await pause(30)
+    rig.isClosing = true
+    const text = await caller.readToEnd()
+    expect(text.match(/\r\n\r\na\d/g)?.map(end => end.trim())).toEqual(['a1', 'a2', 'a3'])
+    expect(/connection: close/i.test(text.slice(text.indexOf('a2')))).toEqual(true)
+  })
+})
+
 describe('a connection whose request does not arrive in time', () => {
   let rig: Rig
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: 1 << 20, headerTimeoutMs: 200, idleTimeoutMs: 5_000 }
