State no length for a short body that its server sent without one

A server without framing broke off a body of 800 bytes by the ordinary end of its connection, and went on; the host, which can't tell that from the end, forwarded it with a length.

The system takes 16 KB at once and delivers them whatever becomes of the process, so shorter bodies without a length are forwarded as they came.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -174,7 +174,7 @@
   private complete (delivery: Delivery, outcome: Outcome, result: BufferedResponse | undefined): void {
     this.slots.job?.reportEnded(outcome, delivery.stepMs)
     if (result === undefined) this.response.end()
-    else this.response.send(result.status, result.headers, result.body)
+    else this.response.send(result.status, result.headers, result.body, result.isCloseDelimited)
     this.log('answered', { ...delivery.logFields, ms: Math.round(this.context.clock.now() - this.request.arrivedAt) })
     this.finish()
   }
--- a/src/forward/bufferedresponse.ts
+++ b/src/forward/bufferedresponse.ts
@@ -5,4 +5,6 @@
   readonly status: number
   readonly headers: RawHeaders
   readonly body: Buffer
+  /** Whether the end of the body was marked only by the end of the connection. */
+  readonly isCloseDelimited: boolean
 }
--- a/src/forward/callerresponse.ts
+++ b/src/forward/callerresponse.ts
@@ -7,6 +7,12 @@
 /** Statuses whose responses have neither a body nor a Content-Length, by RFC 9110. */
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([Status.noContent, Status.notModified])
 
+/**
+ * Longest body that is sent without a length, in bytes. The system takes it at once, so that the end of this process
+ * does not cut it off, which would look like its end.
+ */
+const MAX_CLOSE_DELIMITED_BYTES = 16 << 10
+
 /** Unread part of a response from which it is counted, in bytes; the buffer of a connection holds as much. */
 const MIN_UNREAD_BYTES = 16 << 10
 
@@ -117,9 +123,18 @@
    * @param status - the HTTP status
    * @param headers - a flat list of names and values
    * @param body - the body
+   * @param isCloseDelimited - whether its server marked the end only by the end of the connection; since it may have
+   *   broken off, no length is stated if the body is short
    */
-  send (status: number, headers: RawHeaders, body: Buffer): void {
+  send (status: number, headers: RawHeaders, body: Buffer, isCloseDelimited = false): void {
     if (this.isClosed) return
+    if (isCloseDelimited && body.length <= MAX_CLOSE_DELIMITED_BYTES) {
+      this.response.shouldKeepAlive = false
+      this.response.useChunkedEncodingByDefault = false
+      this.writeHead(status, [...headers])
+      this.response.end(body)
+      return
+    }
     const length = BODILESS_STATUSES.has(status) ? [] : ['Content-Length', String(body.length)]
     this.writeHead(status, [...headers, ...length])
     this.response.end(body)
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -180,9 +180,9 @@
       this.listener.onEnded(this, this.isCloseDelimited ? Outcome.ended : Outcome.done, undefined)
     } else {
       this.times.lastReceivedAt = this.context.clock.now()
-      const { status, headers, body } = this
+      const { status, headers, isCloseDelimited } = this
       const outcome = classifyResponse(status, headers, this.context.headerNames)
-      this.listener.onEnded(this, outcome, { status, headers, body: body.toBuffer() })
+      this.listener.onEnded(this, outcome, { status, headers, isCloseDelimited, body: this.body.toBuffer() })
     }
   }
 
--- a/src/forward/failedresponse.ts
+++ b/src/forward/failedresponse.ts
@@ -43,7 +43,7 @@
   ): void {
     const { response, serverFailure: result } = this
     if (response.isStarted) this.cutOff(reason, delivery)
-    else if (result !== undefined) response.send(result.status, result.headers, result.body)
+    else if (result !== undefined) response.send(result.status, result.headers, result.body, result.isCloseDelimited)
     else if (this.mayHaveRun) response.sendText(NOT_RUN_STATUSES.has(status) ? Status.badGateway : status, reason)
     else if (status === Status.badRequest) response.sendText(status, reason)
     else response.sendText(NOT_RUN_STATUSES.has(status) ? status : Status.unavailable, reason, retryAfterMs)
