Count the body of a request that has ended for no head

Found by reading the change: each idle connection counted twice the bytes of its latest request's body as an incomplete head, so that proper connections could give way though memory was free. A relayed request that gave way at once would have failed in its constructor.

The test of several requests on one connection waits for its condition in place of 100 ms, which failed once beside six busy processes.

--- a/src/forward/bufferbudget.ts
+++ b/src/forward/bufferbudget.ts
@@ -9,9 +9,7 @@
 
 /** Holds bytes of a request or a response in memory. */
 export interface BufferOwner {
-  /**
-   * How readily the owner gives way: that with the largest product of this and its bytes is the first; 0 if it can't.
-   */
+  /** How readily the owner gives way: that with the largest product of this and its bytes is first; 0 if it can't. */
   readonly yieldWeight: number
   /** Called when the budget is used up and this owner gives way. It must hold the bytes no longer. */
   onBufferExhausted (): void
@@ -31,6 +29,8 @@
   private usedBytes = 0
   /** Bytes that were freed since the garbage collector ran. */
   private freedBytes = 0
+  /** How often an owner gave way. */
+  private yieldCount = 0
 
   /**
    * @param maxBytes - memory for all requests and responses together, in bytes
@@ -38,9 +38,6 @@
    */
   constructor (private readonly maxBytes: number, private readonly observer?: BufferObserver) {}
 
-  /** How often an owner gave way. */
-  private yieldCount = 0
-
   /** @returns the state, for a dump */
   dump (): Readonly<Record<string, unknown>> {
     return { bytes: this.usedBytes, maxBytes: this.maxBytes, yields: this.yieldCount }
--- a/src/forward/callerconnection.ts
+++ b/src/forward/callerconnection.ts
@@ -17,7 +17,8 @@
   readonly responses = new Set<ServerResponse>()
   /** The latest request, while its body arrives. */
   receiving: RequestBody | undefined
-  private requestedAt = 0
+  /** Bytes that were received with the latest request, its body included. */
+  private requestBytes = 0
 
   /**
    * @param socket - the connection
@@ -25,14 +26,14 @@
    */
   constructor (readonly socket: Socket, private readonly budget: BufferBudget) {}
 
-  /** Records that a head is complete. */
-  recordHead (): void {
-    this.requestedAt = this.socket.bytesRead
+  /** Records that what was received is no part of an incomplete head: a request begins or has ended. */
+  recordRequest (): void {
+    this.requestBytes = this.socket.bytesRead
   }
 
   /** Counts the bytes of a head that is not complete. */
   countHead (): void {
-    const headBytes = this.responses.size > 0 ? 0 : this.socket.bytesRead - this.requestedAt
+    const headBytes = this.responses.size > 0 ? 0 : this.socket.bytesRead - this.requestBytes
     this.budget.set(this, headBytes < MIN_HEAD_BYTES ? 0 : HEAD_FACTOR * headBytes)
   }
 
--- a/src/forward/callerconnections.ts
+++ b/src/forward/callerconnections.ts
@@ -60,7 +60,7 @@
     const { socket } = response.req
     const connection = this.connections.get(socket)
     if (connection === undefined) return undefined
-    connection.recordHead()
+    connection.recordRequest()
     if (connection.responses.size >= MAX_ACTIVE_REQUESTS) {
       socket.destroy()
       return undefined
@@ -77,6 +77,7 @@
    */
   end (connection: CallerConnection, response: ServerResponse): void {
     connection.responses.delete(response)
+    connection.recordRequest()
     const { socket } = connection
     if (!this.connections.delete(socket)) return
     this.connections.set(socket, connection)
--- a/src/relay/relayedrequest.ts
+++ b/src/relay/relayedrequest.ts
@@ -31,8 +31,8 @@
     private readonly context: RelayContext, private readonly server: BackendServer, request: OutgoingRequest
   ) {
     this.requestBytes = REQUEST_BYTES + (request.body?.length ?? 0)
-    context.bufferBudget.set(this, this.requestBytes)
     this.exchange = context.transport.send(server, request, this)
+    context.bufferBudget.set(this, this.requestBytes)
   }
 
   /** Aborts the request at its server if its response is not complete. */
--- a/test/closing.test.ts
+++ b/test/closing.test.ts
@@ -101,6 +101,9 @@
   })
 })
 
+/** Polls until a condition that does not hold counts as a failure, 20 ms apart. */
+const MAX_POLLS = 200
+
 describe('a connection with several requests that ends', () => {
   let rig: Rig
   afterEach(async () => { await rig.close() })
@@ -115,10 +118,9 @@
     rig = started.rig
     const caller = await rig.connect()
     for (const id of ['a1', 'a2', 'a3']) caller.send(['GET /a HTTP/1.1', `x-attempt: ${id}`])
-    await pause(100)
-    expect(started.servers[0]!.requests.length).toEqual(3)
+    for (let i = 0; i < MAX_POLLS && started.servers[0]!.requests.length < 3; i++) await pause(20)
     caller.socket.destroy()
-    await pause(100)
+    for (let i = 0; i < MAX_POLLS && (ended.size < 3 || rig.activeRequestCount > 0); i++) await pause(20)
     expect([...ended].sort()).toEqual(['a1', 'a2', 'a3'])
     expect(rig.activeRequestCount).toEqual(0)
   })
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -97,6 +97,7 @@
   readonly servers: BackendServer[] = []
   private port = 0
   private ingress: Ingress | undefined
+  readonly bufferBudget = new BufferBudget(BUFFER_BYTES)
 
   static async start (
     currentDeployment: Deployment, ...scripts: Script[]
@@ -158,7 +159,7 @@
       paths: this.paths ?? {
         choose: () => direct, chooseOther: () => Promise.resolve(undefined), tick: () => reachability.tick()
       },
-      bufferBudget: new BufferBudget(BUFFER_BYTES),
+      bufferBudget: this.bufferBudget,
       maxConnections: MAX_CONNECTIONS,
       dispatcher,
       clock: this.clock,
