Request no slot for a request that gave way before

Found by reading: a request that has to give way for want of memory as soon as its body is complete was refused, and still asked for a slot, which was granted and returned.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -54,9 +54,9 @@
     this.failedResponse = new FailedResponse(context, request, response)
   }
 
-  /** Requests the first slot. */
+  /** Requests the first slot, unless the request had to give way before. */
   start (): void {
-    this.requestSlot(false)
+    if (!this.isFinished) this.requestSlot(false)
   }
 
   /** Cancels the attempt because the caller disconnected. */
