--- a/test/earlyends.test.ts
+++ b/test/earlyends.test.ts
@@ -7,7 +7,7 @@
 import type { Script } from './scriptedserver.js'
 
 /** First port of the hosts under test. */
-const FIRST_PORT = 30_600
+const FIRST_PORT = 31_300
 
 /** Number of servers; enough that some are usable while others are avoided after their faults. */
 const SERVERS = 24
--- a/test/plannedstop.test.ts
+++ b/test/plannedstop.test.ts
@@ -6,7 +6,7 @@
 import type { Script } from './scriptedserver.js'
 
 /** First port of the hosts under test. */
-const FIRST_PORT = 30_750
+const FIRST_PORT = 31_500
 
 /** Slots of all servers. */
 const SLOTS = 24
