--- a/review/rig-2/caller.mjs
+++ b/review/rig-2/caller.mjs
@@ -96,6 +96,7 @@
   const channel = new Channel(address)
   channel.send(requestText(method, path, options))
   const [answer] = await channel.untilAnswered(1, options.waitMs)
+  const isComplete = answer?.isComplete === true && !channel.wasReset
   channel.close()
-  return { ...answer, openedAt: channel.openedAt, endedAt: Date.now() }
+  return { ...answer, isComplete, openedAt: channel.openedAt, endedAt: Date.now() }
 }
--- a/review/rig-2/system.mjs
+++ b/review/rig-2/system.mjs
@@ -90,6 +90,8 @@
     host.process = spawn(program, options, {
       env: { PATH, HOME, LANG, MARIGOLDVALVE_CONFIG: settings, ...this.environment }, stdio: ['ignore', 'pipe', 'pipe']
     })
+    const child = host.process
+    process.once('exit', () => child.kill('SIGKILL'))
     host.exit = undefined
     host.process.on('exit', (code, signal) => { host.exit = { code, signal, at: Date.now() } })
     for (const stream of [host.process.stdout, host.process.stderr]) {
