--- a/review/rig-2/system.mjs
+++ b/review/rig-2/system.mjs
@@ -34,6 +34,7 @@
 
 const ROUTES = [
   route('pay', { kind: 'unsafe', timeout_ms: 4_000, target_latency_ms: 400, service: 'calls', max_attempts: 1 }),
+  route('book', { kind: 'unsafe', timeout_ms: 4_000, target_latency_ms: 400, service: 'calls', max_attempts: 2 }),
   route('look', { kind: 'safe', timeout_ms: 4_000, target_latency_ms: 400, service: 'calls', max_attempts: 2 }),
   route('draft', {
     kind: 'streaming',
