--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -12,14 +12,20 @@
 const CALLERS = 30
 const WORK_MS = 50
 
-/** What a faulty worker sends after a complete answer, which belongs to no request: no Attempt-Id, no receipt. */
-const EXTRA = 'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 22\r\n\r\npage of somebody else\n'
+/**
+ * What a faulty worker sends after a complete answer, which belongs to no request: a page without an id or a receipt,
+ * and a refusal like the one that `fleetbench wire` shows.
+ */
+const EXTRAS = [
+  'HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 22\r\n\r\npage of somebody else\n',
+  'HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+]
 
 /** Answers whole; the additional bytes of some answers arrive late, when the next answer of the channel is expected. */
 function answerWithExtra (request, response, run, { isFaulty }) {
   const { socket } = response
   if (socket.owesExtra) {
-    socket.write(EXTRA)
+    socket.write(EXTRAS[Math.floor(Math.random() * EXTRAS.length)])
     run.cameAfterExtra = true
   }
   socket.owesExtra = hasTrouble && isFaulty && !socket.owesExtra && Math.random() < EXTRA_SHARE
@@ -34,6 +40,19 @@
   }
 }
 
+/** Notes a result that isn't as it should be, and says which rule it breaks, if any. */
+function check ({ attempt, answer }, runs, note) {
+  const receipt = answer.headers?.['response-signature']
+  if (answer.status === 200 && receipt !== undefined && answer.body === `done ${attempt} ${attempt}`) return []
+  note(`${attempt}: run ${runs.length} times, ${runs.filter(run => run.isComplete).length} answered whole; the caller got ` +
+    `${answer.status}, receipt ${receipt}, ${JSON.stringify(answer.body)}`)
+  if (answer.status === 200) {
+    return [`MIXED: ${attempt} got a 200 without the worker's receipt, and bytes that belong to no request`]
+  }
+  const isRefusedAfterRun = answer.status === 503 && runs.length > 0 && attempt.startsWith('pay')
+  return isRefusedAfterRun ? [`REFUSED: ${attempt} was answered 503 and had run`] : []
+}
+
 await runCase(import.meta.url, async ({ note, own }) => {
   const system = own(await System.start({ hosts: 1 }))
   const workers = []
@@ -53,15 +72,5 @@
   const runs = workers.flatMap(worker => worker.runs)
   const extra = runs.filter(run => run.cameAfterExtra).length
   note(`${results.length} requests; after ${extra} of ${runs.length} answers of the workers came additional bytes`)
-  const broken = []
-  for (const { attempt, answer } of results) {
-    const receipt = answer.headers?.['response-signature']
-    if (answer.status !== 200) note(`${attempt}: answered ${answer.status}`)
-    if (answer.status !== 200 || (receipt !== undefined && answer.body === `done ${attempt} ${attempt}`)) continue
-    const ran = runs.filter(run => run.attempt === attempt)
-    note(`${attempt}: run ${ran.length} times, ${ran.filter(run => run.isComplete).length} answered whole; the caller got ` +
-      `200, receipt ${receipt}, ${JSON.stringify(answer.body)}`)
-    broken.push(`MIXED: ${attempt} got a 200 without the worker's receipt, and bytes that belong to no request`)
-  }
-  return broken
+  return results.flatMap(result => check(result, runs.filter(run => run.attempt === result.attempt), note))
 })
