Do not take a reset connection for the end of a response without a length

The caller gets a 200 that ends in order, with half of a body or without the last events of a stream.

Cause: if the last bytes and the reset are read in one turn of the event loop, libuv reports the bytes and then an ordinary end, since the poll says that the connection is closed in both directions. No 'error' is emitted, so the check of ServerConnection (wasReset) missed it. Besides, undici takes ECONNRESET for the end of such a response of its own accord.

Why it works: the system keeps the error of the connection until it is asked for. ClientSocket keeps its side of the connection open at the end and writes no bytes: that returns ECONNRESET after a reset and nothing after an ordinary end, and sends nothing. If a part of the request is still to be written, the system returns the error to that write, in the same turn. A reset is passed on as an error without ECONNRESET.

Ruled out: a time to wait after the end, since the error is there already or never comes; asking whether the server still listens, which it does; counting any early response during an upload as broken, since servers may respond before they have read a body.

--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -17,8 +17,6 @@
 export class ServerConnection {
   /** Whether the connection can carry another request. */
   isUsable = true
-  /** Whether the connection was reset; a response without a length that ends then is truncated. */
-  wasReset = false
   private readonly client: Client
   private socket: ServerSocket | undefined
   private onReading = (): void => undefined
@@ -95,15 +93,8 @@
       socket.off('error', handleError)
       this.onConnected()
       this.socket = socket
-      this.detectReset(socket)
+      socket.on('error', () => { this.isUsable = false })
       callback(null, socket)
     })
   }
-
-  private detectReset (socket: ServerSocket): void {
-    socket.on('error', () => {
-      this.wasReset = true
-      this.isUsable = false
-    })
-  }
 }
--- a/src/forward/directexchange.ts
+++ b/src/forward/directexchange.ts
@@ -112,8 +112,7 @@
   onComplete (): void {
     if (this.isDone) return
     this.isDone = true
-    if (this.connection.wasReset) this.handler.onFailure(new Error('the connection was reset'))
-    else if (this.isCloseDelimited) void this.endIfServerGoesOn()
+    if (this.isCloseDelimited) void this.endIfServerGoesOn()
     else this.handler.onEnd()
   }
 
--- a/src/forward/serversocket.ts
+++ b/src/forward/serversocket.ts
@@ -1,4 +1,4 @@
-import { Socket } from 'node:net'
+import { ClientSocket } from '../base/index.js'
 
 /**
  * Most bytes that are handed to the HTTP parser at once, in bytes. The parser runs through all of them even if the
@@ -7,7 +7,7 @@
 const MAX_READ_BYTES = 4 << 10
 
 /** A connection's socket, which reports each read of the HTTP parser before it happens. */
-export class ServerSocket extends Socket {
+export class ServerSocket extends ClientSocket {
   private isHeld = false
 
   /** @param onReading - called before bytes are handed to the parser; may destroy the socket */
--- a/test/hostfleet.ts
+++ b/test/hostfleet.ts
@@ -54,6 +54,8 @@
   readonly limits?: ProcessLimits
   /** Longest body of a request, in bytes. */
   readonly maxBodyBytes?: number
+  /** Whether the text that a server received is a request that it handles; whether it is complete if left out. */
+  readonly isRequest?: (text: string) => boolean
 }
 
 /** Processes of severable hosts before scripted servers of one service, with a store. */
@@ -83,7 +85,7 @@
     const fleet = new HostFleet(await RowsStandin.start(), firstPort, options)
     const { servers, hosts } = fleet
     for (let index = 0; index < serverCount; index++) {
-      servers.push(await ScriptedServer.start(script))
+      servers.push(await ScriptedServer.start(script, 0, options.isRequest))
       fleet.putServer(index, 'ready')
     }
     fleet.putConfig(1, kinds.map(kind => ({ prefix: `/${kind}/`, kind })))
--- a/test/relayrig.ts
+++ b/test/relayrig.ts
@@ -75,11 +75,15 @@
   private readonly ownPool = new ConnectionPool(new RecordedLog().logger)
 
   static async start (
-    currentDeployment: Deployment, scripts: Script[], hostCount = 1, prepare: (rig: Rig) => void = () => undefined
+    currentDeployment: Deployment,
+    scripts: Script[],
+    hostCount = 1,
+    prepare: (rig: Rig) => void = () => undefined,
+    isRequest?: (text: string) => boolean
   ): Promise<RelayRig> {
     const relayRig = new RelayRig()
     const { rig, hosts, relays } = relayRig
-    for (const script of scripts) relayRig.servers.push(await rig.addServer(script))
+    for (const script of scripts) relayRig.servers.push(await rig.addServer(script, isRequest))
     for (let i = 0; i < hostCount; i++) hosts.push(await RelayingHost.start(`relay-${i}`))
     for (const host of hosts) host.setServers(rig.servers)
     rig.paths = relayRig.createPaths()
--- a/test/rig.ts
+++ b/test/rig.ts
@@ -109,8 +109,8 @@
     return { rig, servers }
   }
 
-  async addServer (script: Script): Promise<ScriptedServer> {
-    const scriptedServer = await ScriptedServer.start(script)
+  async addServer (script: Script, isRequest?: (text: string) => boolean): Promise<ScriptedServer> {
+    const scriptedServer = await ScriptedServer.start(script, 0, isRequest)
     this.lifecycle.onClose('server', () => scriptedServer.close())
     const id = `server-${this.servers.length}`
     const server = {
--- a/test/scriptedserver.ts
+++ b/test/scriptedserver.ts
@@ -14,7 +14,12 @@
 
   private constructor (private readonly server: Server, readonly address: string, readonly script: Script) {}
 
-  static async start (script: Script, port = 0): Promise<ScriptedServer> {
+  /**
+   * @param script - what the server does
+   * @param port - its port; any free one if 0
+   * @param isRequest - whether the received text is a request that the script handles
+   */
+  static async start (script: Script, port = 0, isRequest = isCompleteRequest): Promise<ScriptedServer> {
     const server = createServer()
     await new Promise<void>(resolve => { server.listen(port, '127.0.0.1', resolve) })
     const scriptedServer = new ScriptedServer(server, `127.0.0.1:${(server.address() as AddressInfo).port}`, script)
@@ -25,7 +30,7 @@
       let text = ''
       socket.on('data', bytes => {
         text += bytes.toString('latin1')
-        if (!isCompleteRequest(text)) return
+        if (!isRequest(text)) return
         scriptedServer.requests.push(text)
         scriptedServer.usedConnections.add(socket)
         const request = text
@@ -48,6 +53,11 @@
   }
 }
 
+/** @returns whether the head of a request is complete, for servers that respond before they read its body */
+export function hasHead (text: string): boolean {
+  return text.includes('\r\n\r\n')
+}
+
 function isCompleteRequest (text: string): boolean {
   const headEnd = text.indexOf('\r\n\r\n')
   if (headEnd === -1) return false
