Do not take a reset for the end of a response of a plain service of the older interface

A plain service sends a part of a response without a length and resets its connection; the call counts as answered, the part is passed on and recorded as the whole response.

Cause: ServiceClient reads with undici, which takes ECONNRESET for the end of such a response, and Node reports an ordinary end if the reset arrives with the last bytes.

Streams of engines end with an event of their own (by reading), the lists of hosts and the signed calls are JSON.

Why it works: ServiceClient opens its connections as ClientSocket, which reports a reset as another error. HTTPS is connected as before and was not tried.

Connecting a socket is one function now, which connections of the gateway use too.

--- a/src/forward/connection.ts
+++ b/src/forward/connection.ts
@@ -1,4 +1,5 @@
 import { type buildConnector, Client, type Dispatcher as UndiciDispatcher } from 'undici'
+import { establish } from '../base/index.js'
 import { ServerSocket } from './serversocket.js'
 
 /** Longest time to establish a connection, in milliseconds; allows for several round trips. */
@@ -10,9 +11,6 @@
 /** Time that an idle connection stays open if the server states none, in milliseconds. */
 const DEFAULT_KEEP_ALIVE_MS = 4_000
 
-/** Time without data after which the system checks whether a server still exists, in milliseconds. */
-const TCP_KEEP_ALIVE_MS = 60_000
-
 /** One connection to a backend server. It carries one request at a time. */
 export class ServerConnection {
   /** Whether the connection can carry another request. */
@@ -81,16 +79,12 @@
 
   private connect (options: buildConnector.Options, callback: buildConnector.Callback): void {
     const socket = new ServerSocket(() => this.onReading())
-    const handleError = (error: Error): void => callback(error, null)
-    socket.once('error', handleError)
-    // If the process was busy, the connection may be established already, which it learns before the check.
-    socket.setTimeout(CONNECT_TIMEOUT_MS, () => setImmediate(() => {
-      if (socket.connecting) socket.destroy(new Error(`no connection within ${CONNECT_TIMEOUT_MS} ms`))
-    }))
-    socket.connect({ host: options.hostname, port: Number(options.port), noDelay: true }, () => {
-      socket.setTimeout(0)
-      socket.setKeepAlive(true, TCP_KEEP_ALIVE_MS)
-      socket.off('error', handleError)
+    const destination = { host: options.hostname, port: Number(options.port), timeoutMs: CONNECT_TIMEOUT_MS }
+    establish(socket, destination, error => {
+      if (error !== undefined) {
+        callback(error, null)
+        return
+      }
       this.onConnected()
       this.socket = socket
       socket.on('error', () => { this.isUsable = false })
--- a/src/service/client.ts
+++ b/src/service/client.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Agent, request } from 'undici'
-import { toError } from '../base/index.js'
+import { createConnector, toError } from '../base/index.js'
 import { ServiceFailure } from './failure.js'
 
 /** A call in the form in which it is forwarded to a worker. */
@@ -27,7 +27,7 @@
 
 /** HTTP client for the workers of plain services. It does not retry. */
 export class ServiceClient {
-  private readonly agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, pipelining: 1 })
+  private readonly agent = new Agent({ connect: createConnector(CONNECT_TIMEOUT_MS), pipelining: 1 })
 
   /** @param maxAnswerBytes - maximum size of an answer body, in bytes */
   constructor (private readonly maxAnswerBytes: number) {}
