Take a response whose status is none for no response

What callers saw: a server in trouble sends a response with the status 600 or 999, which HTTP does not have. The caller gets it as the answer to its request; on the older interface the call counts as answered, is recorded, and can't be passed on (the runtime accepts 200 to 599).

Cause: the parser takes any three digits for a status, and whatever reads a response only compares. The reported status 000 does not get that far: undici fails an assertion on a status below 100, closes the connection, and the response counts as broken.

Why it works: such a response counts as broken wherever a head is checked (findHeadFault, for relayed responses too, since the host that has the request checks it) and in ServiceClient.

--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -9,7 +9,8 @@
 import type { DeliveryListener } from './deliverylistener.js'
 import type { EventSequencer } from './eventsequencer.js'
 import type { Exchange, ResponseHandler } from './exchange.js'
-import { endToEndHeaders, findHeader, isCloseDelimited, type RawHeaders, statedBodyLength } from './headers.js'
+import { findHeadFault } from './headfault.js'
+import { endToEndHeaders, isCloseDelimited, type RawHeaders, statedBodyLength } from './headers.js'
 import { findMissingBody, findMissingEvents } from './missingpart.js'
 import { buildOutgoingRequest } from './outgoingrequest.js'
 import { ReceiveLimit } from './receivelimit.js'
@@ -132,19 +133,16 @@
 
   onHead (status: number, headers: RawHeaders): void {
     if (this.isFinished) return
-    const { request: { attemptId, method, route }, context: { headerNames } } = this
-    const echoedId = findHeader(headers, headerNames.attemptId)
-    if (attemptId !== undefined && echoedId !== undefined && echoedId !== attemptId) {
-      this.abortAsBroken('the response belongs to another attempt')
-      return
-    }
+    const { request, context: { headerNames } } = this
+    const fault = findHeadFault(request, status, headers, headerNames)
+    if (fault !== undefined) return this.abortAsBroken(fault)
     // The server at this address is another one.
     if (status !== Status.misdirected) this.listener.onStatement(readServerStatement(status, headers, headerNames))
     this.status = status
     this.headers = endToEndHeaders(headers, REWRITTEN_HEADERS)
-    this.isCloseDelimited = isCloseDelimited(method, status, headers)
-    this.isStreaming = route.retrySafety === RetrySafety.stream && isSuccess(status)
-    const bodyLength = statedBodyLength(method, status, headers)
+    this.isCloseDelimited = isCloseDelimited(request.method, status, headers)
+    this.isStreaming = request.route.retrySafety === RetrySafety.stream && isSuccess(status)
+    const bodyLength = statedBodyLength(request.method, status, headers)
     const excess = this.receiveLimit.recordHead(this.isStreaming, bodyLength)
     if (excess !== undefined) this.abortAsBroken(excess)
     else if (!this.isStreaming) this.recordArrival()
--- a/src/service/client.ts
+++ b/src/service/client.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Agent, request } from 'undici'
-import { createConnector, toError } from '../base/index.js'
+import { createConnector, isFinalStatus, toError } from '../base/index.js'
 import { ServiceFailure } from './failure.js'
 
 /** A call in the form in which it is forwarded to a worker. */
@@ -70,6 +70,7 @@
       if (bytes > this.maxAnswerBytes) throw new Error(`answer body exceeds the limit of ${this.maxAnswerBytes} bytes`)
       chunks.push(chunk as Buffer)
     }
+    if (!isFinalStatus(response.statusCode)) throw new Error(`the status is ${response.statusCode}`)
     const header = response.headers['content-type']
     const contentType = Array.isArray(header) ? header[0] : header
     return {
