Limit what is read of responses outside the gateway

What was reported: a faulty server sends bytes without end, in a head or a body, and the process that called it keeps them all until it is out of memory.

Heads were limited by the HTTP client.

Why it works: readText counts while it reads and closes the connection.

Not changed: the command line reads what hosts of its own deployment send without a limit.

--- a/src/engine/client.ts
+++ b/src/engine/client.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Agent, type Dispatcher, request } from 'undici'
-import { toError } from '../base/index.js'
+import { readText, toError } from '../base/index.js'
 import { EngineFailure } from './failure.js'
 
 /** Body stream of an HTTP response from an engine. */
@@ -9,6 +9,9 @@
 const CONNECT_TIMEOUT_MS = 2_000
 const CANCEL_TIMEOUT_MS = 2_000
 
+/** Longest description of a failure, in bytes. */
+const MAX_FAILURE_BYTES = 64 << 10
+
 /** Error codes of connections that failed before the request was sent. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'UND_ERR_CONNECT_TIMEOUT', 'EHOSTUNREACH', 'ENETUNREACH'])
 
@@ -83,7 +86,7 @@
     try {
       const response = await request(address + path, { ...options, dispatcher: this.agent })
       if (response.statusCode === 200) return ok(response.body)
-      const body = await response.body.text()
+      const body = await readText(response.body, MAX_FAILURE_BYTES)
       return err(statusFailure(operation, response.statusCode, body))
     } catch (thrown) {
       const cause = toError(thrown) as NodeJS.ErrnoException
--- a/src/platform/httphostlist.ts
+++ b/src/platform/httphostlist.ts
@@ -1,10 +1,13 @@
 import { errAsync, okAsync, ResultAsync } from 'neverthrow'
 import { request } from 'undici'
 import { z } from 'zod'
-import { toError } from '../base/index.js'
+import { readText, toError } from '../base/index.js'
 import { PlatformFailure } from './failure.js'
 import type { HostList, ListedHost } from './hostlist.js'
 
+/** Longest list, in bytes; room for tens of thousands of hosts. */
+const MAX_LIST_BYTES = 4 << 20
+
 const hostListSchema = z.array(z.object({ host: z.string(), leaving: z.boolean() }))
 
 /** A host list that is read as JSON over HTTP. */
@@ -27,6 +30,6 @@
 
   private async fetch (): Promise<unknown> {
     const response = await request(this.address, { signal: AbortSignal.timeout(this.timeoutMs) })
-    return await response.body.json()
+    return JSON.parse(await readText(response.body, MAX_LIST_BYTES))
   }
 }
--- a/src/platform/signedclient.ts
+++ b/src/platform/signedclient.ts
@@ -1,7 +1,7 @@
 import aws4 from 'aws4'
 import { ResultAsync } from 'neverthrow'
 import { Agent, request } from 'undici'
-import { toError } from '../base/index.js'
+import { readText, toError } from '../base/index.js'
 import { PlatformFailure } from './failure.js'
 
 /** Address, credentials and timeout for calls to one platform service. */
@@ -32,6 +32,9 @@
 /** Connections to one service that may be open at once. */
 const MAX_CONNECTIONS = 16
 
+/** Longest body of a response, in bytes; twice what a table returns at once. */
+const MAX_RESPONSE_BYTES = 32 << 20
+
 /** Sends HTTP requests with AWS signatures to one platform service. */
 export class SignedClient {
   private readonly agent: Agent
@@ -88,6 +91,6 @@
       signal,
       dispatcher: this.agent
     })
-    return { status: response.statusCode, body: await response.body.text() }
+    return { status: response.statusCode, body: await readText(response.body, MAX_RESPONSE_BYTES) }
   }
 }
