Do not complete a response without a length whose server may have started again during a pause

Reproduced on the code before with real processes: servers sent two events without a length or chunks; the host was stopped (SIGSTOP), the servers were killed and started again at their addresses, and the host went on.

Cause: the system ends the connections of a killed process in the ordinary way. The host tells that from the end of a response by a connection to the server, which is refused if its process is gone. A host that reads the end late asks the next process.

Why it works: the interval of ticks shows a pause of this process. At the host that relays, the same code decides.

Ruled out: to ask the server for its id, since a health check waits for a slot; to compare the entry of the server, since the entries of a host that stood still are as old as the pause.

--- a/src/forward/directexchange.ts
+++ b/src/forward/directexchange.ts
@@ -118,15 +118,21 @@
 
   /** The system also ends the connections of a process that is killed, which is not the end of the response. */
   private async endIfServerGoesOn (): Promise<void> {
-    const hasServerEnded = await isRefused(this.address)
+    const doubt = await this.findDoubt()
     try {
-      if (hasServerEnded) this.handler.onFailure(new Error('the process of the server ended'))
-      else this.handler.onEnd()
+      if (doubt === undefined) this.handler.onEnd()
+      else this.handler.onFailure(new Error(doubt))
     } catch (thrown) {
       this.handler.onFailure(toError(thrown))
     }
   }
 
+  /** @returns why the end of the connection may be that of the server's process, if it may */
+  private async findDoubt (): Promise<string | undefined> {
+    if (this.reachability.wasPaused) return 'the server may have started again while this process stood still'
+    return await isRefused(this.address) ? 'the process of the server ended' : undefined
+  }
+
   onError (error: Error): void {
     // The caller of the constructor can't handle the error before the constructor returns the exchange.
     if (!this.isConstructed) queueMicrotask(() => this.handleError(error))
--- a/src/forward/reachability.ts
+++ b/src/forward/reachability.ts
@@ -1,4 +1,5 @@
 import type { Clock, Random } from '../base/index.js'
+import { PauseDetector } from './pausedetector.js'
 
 /** Number of servers that a check connects to, and of further ones if it reaches none of these. */
 const FIRST_PROBES = 3
@@ -42,9 +43,17 @@
   private connectedAt = -Infinity
   /** When a server last sent data. */
   private receivedAt = -Infinity
+  private readonly pauses: PauseDetector
 
   /** @param context - what it depends on */
-  constructor (private readonly context: ReachabilityContext) {}
+  constructor (private readonly context: ReachabilityContext) {
+    this.pauses = new PauseDetector(context.clock)
+  }
+
+  /** Whether this process stood still a moment ago, so that a server may have ended and started again unnoticed. */
+  get wasPaused (): boolean {
+    return this.pauses.wasPaused
+  }
 
   /** Whether this host can reach a server, as far as it knows. */
   get canReachServers (): boolean {
@@ -88,8 +97,9 @@
     void this.startCheck(address)
   }
 
-  /** Repeats the check at intervals while no server can be reached. */
+  /** Repeats the check at intervals while no server can be reached. To be called at short intervals. */
   tick (): void {
+    this.pauses.tick()
     if (this.isReachable || this.context.clock.now() - this.checkedAt < RECHECK_INTERVAL_MS) return
     void this.startCheck(undefined)
   }
