Cut a host off from its servers with requests that need new connections, in earlyends.test.ts

Only a refused new connection shows a host that its path is gone, and open connections live on in this cut. The test sent one request at a time, each of which found an idle connection unless its server happened to have none, or none for 4 s.

What the test checks is unchanged.

--- a/test/earlyends.test.ts
+++ b/test/earlyends.test.ts
@@ -238,7 +238,8 @@
       await start(2, FIRST_PORT + 70 + 20 * offset, begin, 5_000)
       await severHost(fleet.hosts[0]!, fleet.serverAddresses, Cut.refuse)
       await waitFor(async () => {
-        await fleet.callAtRate(fleet.hosts[0]!, '/warm/', 1, 1)
+        // More than there are idle connections to any server: only a new connection is refused.
+        await Promise.all(Array.from({ length: SERVERS }, () => fleet.callAtRate(fleet.hosts[0]!, '/warm/', 2, 1)))
         return fleet.hosts[0]!.output.includes('servers-unreachable')
       })
       expect(await receiveDuring(0, () => killHostProcess(fleet.hosts[victim]!))).toEqual([])
