Do not complete a response without a length that was read after its server had started again

What callers see: a caller that reads slowly gets a stream that ends as complete without its last events, since its server was killed and started again before the host read the end.

Cause: the same as for a host that stood still. While a caller does not read, the host does not read from the server either; the end of the connection waits behind the events, and the port that the host then asks belongs to the next process.

Found by looking for the same cause on related paths.

Why it works: meanwhile the host has learned from the entries of servers that this one has started again, or that a later one has its address; a response without a length that ends then is not complete. A time limit as for pauses was ruled out: it would cut off sound streams of slow callers.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -209,6 +209,16 @@
     return [...this.entries.keys()].map(id => this.findListed(id, now)).filter(server => server !== undefined)
   }
 
+  /**
+   * @param server - an earlier state of a server
+   * @returns whether its process has ended, since it has started again or a later one has its address
+   */
+  isReplaced (server: BackendServer): boolean {
+    const isLater = ({ server: known }: Entry): boolean => known !== undefined && known.born > server.born &&
+      (known.id === server.id || known.address === server.address)
+    return [...this.entries.values()].some(isLater)
+  }
+
   /**
    * @param server - an earlier state of a server
    * @returns whether the newest known entry of that server is of the same incarnation, draining or not
--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -11,7 +11,7 @@
 import type { Exchange, ResponseHandler } from './exchange.js'
 import { findHeadFault } from './headfault.js'
 import { endToEndHeaders, isCloseDelimited, type RawHeaders, statedBodyLength } from './headers.js'
-import { findMissingBody, findMissingEvents } from './missingpart.js'
+import { findMissingBody, findMissingEvents, findRestart } from './missingpart.js'
 import { buildOutgoingRequest } from './outgoingrequest.js'
 import { ReceiveLimit } from './receivelimit.js'
 import { classifyResponse } from './responseoutcome.js'
@@ -166,8 +166,9 @@
     const missing = this.isStreaming
       ? findMissingEvents(this.sequencer, this.isCloseDelimited)
       : findMissingBody(this.status, this.body.capacity, this.isCloseDelimited)
-    if (missing === undefined) this.complete()
-    else this.abortAsBroken(missing)
+    const fault = missing ?? findRestart(this.context.fleet, this.server, this.isCloseDelimited)
+    if (fault === undefined) this.complete()
+    else this.abortAsBroken(fault)
   }
 
   private complete (): void {
--- a/src/forward/missingpart.ts
+++ b/src/forward/missingpart.ts
@@ -1,3 +1,4 @@
+import type { BackendServer, Fleet } from '../fleet/index.js'
 import type { EventSequencer } from './eventsequencer.js'
 import { isSuccess } from './status.js'
 
@@ -30,3 +31,15 @@
 export function findMissingBody (status: number, bytes: number, isCloseDelimited: boolean): string | undefined {
   return isCloseDelimited && bytes === 0 && isSuccess(status) ? NO_BODY : undefined
 }
+
+/**
+ * Checks a response whose end may have been read long after it arrived, since its caller did not read.
+ *
+ * @param fleet - the servers
+ * @param server - the server that sent it
+ * @param isCloseDelimited - whether its end was marked only by the end of the connection
+ * @returns why the end of the connection was that of the server's process, if it was
+ */
+export function findRestart (fleet: Fleet, server: BackendServer, isCloseDelimited: boolean): string | undefined {
+  return isCloseDelimited && fleet.isReplaced(server) ? 'the server has started again' : undefined
+}
--- a/test/hostfleet.ts
+++ b/test/hostfleet.ts
@@ -123,10 +123,10 @@
   }
 
   /** Writes the entry of a server. */
-  putServer (index: number, state: string, service = SERVICE): void {
+  putServer (index: number, state: string, service = SERVICE, born = 1): void {
     const { address } = this.servers[index]!
     this.store.put('servers', `i-${index}`, {
-      service, address, zone: 'z', version: 'v1', slots: 8, state, born: 1
+      service, address, zone: 'z', version: 'v1', slots: 8, state, born
     })
   }
 
--- a/test/restartedservers.test.ts
+++ b/test/restartedservers.test.ts
@@ -22,6 +22,12 @@
 const ROUTES = ['once', 'resumable', 'safe', 'unsafe'] as const
 const FIRST_EVENTS = 'id: 1\ndata: x\n\nid: 2\ndata: x\n\n'
 
+/** Events that fit into the buffers on the way only if the host does not read all of them. */
+const MANY_EVENTS = Array.from({ length: 4_096 }, (_, index) => `id: ${index + 1}\ndata: ${'x'.repeat(1_000)}\n\n`).join('')
+
+/** Time until the host knows of the servers that started again, in milliseconds. */
+const KNOWN_MS = 500
+
 describe('a response without a length whose server is killed and starts again', { timeout: 120_000 }, () => {
   let fleet: HostFleet
   afterEach(() => fleet.close())
@@ -31,7 +37,7 @@
       if (request.startsWith('GET /warm/')) answer(request, index, socket)
       else {
         const headers = [...answerHeaders(request), 'Content-Type: text/event-stream']
-        socket.write(`HTTP/1.1 200 OK\r\n${headers.join('\r\n')}\r\n\r\n${FIRST_EVENTS}`)
+        socket.write(`HTTP/1.1 200 OK\r\n${headers.join('\r\n')}\r\n\r\n${request.includes('/long') ? MANY_EVENTS : FIRST_EVENTS}`)
       }
     }, [], { serverCount: SERVERS })
     fleet.putConfig(2, [
@@ -77,6 +83,23 @@
     expect(await receiveDuring(() => restartServersBehind(0))).toEqual([])
   })
 
+  // Guards against a stream without its last events that looks complete because its caller read it late.
+  it('does not look complete if its caller did not read meanwhile', async () => {
+    await start(1, FIRST_PORT + 40)
+    let readNow = (): void => undefined
+    const untilRead = new Promise<void>(resolve => { readNow = resolve })
+    const pending = ['once', 'resumable'].map(route => sendRaw(fleet.hosts[0]!.callerAddress, {
+      target: `/${route}/long`, attemptId: `${route}0`, deadlineMs: STREAM_TIMEOUT_MS, untilRead
+    }))
+    await sleep(BEGIN_MS)
+    await restartServers()
+    fleet.servers.forEach((_, index) => fleet.putServer(index, 'ready', undefined, 2))
+    await sleep(KNOWN_MS)
+    readNow()
+    const received = await Promise.all(pending)
+    expect(received.map(({ isComplete, body }) => `${isComplete} ${body.length > 1 << 20}`)).toEqual(['false true', 'false true'])
+  })
+
   // Guards against the same where a host that relays the request stood still.
   it('does not look complete if the host that relays it stood still meanwhile', async () => {
     await start(2, FIRST_PORT + 20)
