Read a response as its Transfer-Encoding says, or not at all

If the server sends all of it, the caller gets the encoded body with no header that says so, since Transfer-Encoding is not passed on.

Cause: a response with such a header ends with its connection, by RFC 9112 and in the parser, but isCloseDelimited took any Transfer-Encoding for chunks, so that the end of the connection was not checked. Unknown encodings were accepted.

Why it works: the last encoding decides whether the connection marks the end; an encoding other than chunked or identity makes the response none, since requests ask for no other.

--- a/src/forward/headers.ts
+++ b/src/forward/headers.ts
@@ -46,6 +46,15 @@
   return new Set(value.split(',').map(name => name.trim().toLowerCase()))
 }
 
+/**
+ * @param headers - the headers of a response
+ * @returns the names of the encodings that all Transfer-Encoding headers list, in their order and in lower case
+ */
+export function transferEncodings (headers: RawHeaders): string[] {
+  const values = headers.filter((_, at) => at % 2 === 1 && headers[at - 1]!.toLowerCase() === 'transfer-encoding')
+  return values.flatMap(value => value.split(',')).map(name => name.trim().toLowerCase()).filter(name => name !== '')
+}
+
 /**
  * @param method - the method of the request
  * @param status - the status of the response
@@ -54,7 +63,8 @@
  */
 export function isCloseDelimited (method: string, status: number, headers: RawHeaders): boolean {
   if (method === 'HEAD' || status === Status.noContent || status === Status.notModified) return false
-  return findHeader(headers, 'content-length') === undefined && findHeader(headers, 'transfer-encoding') === undefined
+  const encodings = transferEncodings(headers)
+  return encodings.length === 0 ? findHeader(headers, 'content-length') === undefined : encodings.at(-1) !== 'chunked'
 }
 
 /**
--- a/src/service/client.ts
+++ b/src/service/client.ts
@@ -71,6 +71,8 @@
       chunks.push(chunk as Buffer)
     }
     if (!isFinalStatus(response.statusCode)) throw new Error(`the status is ${response.statusCode}`)
+    const encoding = String(response.headers['transfer-encoding'] ?? 'chunked')
+    if (encoding.toLowerCase() !== 'chunked') throw new Error(`the transfer encoding ${encoding} is unknown`)
     const header = response.headers['content-type']
     const contentType = Array.isArray(header) ? header[0] : header
     return {
--- a/test/oddheads.test.ts
+++ b/test/oddheads.test.ts
@@ -61,25 +61,65 @@
   }
 })
 
-describe('an odd status of a plain service of the older interface', { timeout: 30_000 }, () => {
-  // Guards against an answer without a proper status that is recorded, and can't be passed on.
-  it('is no response', async () => {
+const UNKNOWN_ENCODINGS = ['gzip', 'chunked, gzip', 'gzip, chunked', 'xchunked', 'chunked;q=1', 'br']
+
+/** @returns a response that ends as its transfer encoding says */
+function encodedResponse (encoding: string): string {
+  const body = encoding.endsWith(' chunked') ? `f\r\n${EVENT}\r\n0\r\n\r\n` : EVENT
+  return `HTTP/1.1 200 OK\r\n${FIELDS}Transfer-Encoding: ${encoding}\r\n\r\n${body}`
+}
+
+describe('an odd response of a plain service of the older interface', { timeout: 30_000 }, () => {
+  async function expectBroken (responses: readonly string[]): Promise<void> {
     const client = new ServiceClient(1 << 20)
     const wrong: string[] = []
-    for (const status of ODD_STATUSES) {
-      for (const [framing, rest] of Object.entries(RESTS)) {
-        const server = await ScriptedServer.start((_, __, socket) => {
-          socket.write(`HTTP/1.1 ${status} Fine\r\n${rest}`)
-          setTimeout(() => socket.end(), END_DELAY_MS)
-        })
-        const call = { method: 'POST', path: '/a', headers: {}, body: Buffer.from('x'), timeoutMs: 2_000 }
-        const result = await client.send(`http://${server.address}`, call)
-        if (result.isOk() || result.error.code !== 'broken') wrong.push(`${status}, ${framing}`)
-        server.close()
-      }
+    for (const response of responses) {
+      const server = await ScriptedServer.start((_, __, socket) => {
+        socket.write(response)
+        setTimeout(() => socket.end(), END_DELAY_MS)
+      })
+      const call = { method: 'POST', path: '/a', headers: {}, body: Buffer.from('x'), timeoutMs: 2_000 }
+      const result = await client.send(`http://${server.address}`, call)
+      if (result.isOk() || result.error.code !== 'broken') wrong.push(response)
+      server.close()
     }
     await client.close()
     expect(wrong).toEqual([])
+  }
+
+  // Guards against an answer without a proper status that is recorded, and can't be passed on.
+  it('is no response if its status is odd', async () => {
+    await expectBroken(ODD_STATUSES.flatMap(status => Object.values(RESTS).map(rest => `HTTP/1.1 ${status} Fine\r\n${rest}`)))
+  })
+
+  // Guards against a body that its caller gets in an encoding that no header states.
+  it('is no response if its transfer encoding is unknown', async () => {
+    await expectBroken(UNKNOWN_ENCODINGS.map(encodedResponse))
+  })
+})
+
+describe('an unknown transfer encoding', { timeout: 30_000 }, () => {
+  let rig: Rig
+  afterEach(async () => { await rig.close() })
+
+  // Guards against a body that its caller gets in an encoding that no header states any more.
+  it('makes the response no response', async () => {
+    const wrong: string[] = []
+    for (const [name, current] of Object.entries(ROUTES)) {
+      for (const encoding of UNKNOWN_ENCODINGS) {
+        rig = new Rig()
+        for (let index = 0; index < 2; index++) {
+          await rig.addServer((_, __, socket) => {
+            socket.end(encodedResponse(encoding))
+          })
+        }
+        await rig.listen(deployment({ routes: [current] }))
+        const text = await rig.request(POST, 'x')
+        if (!text.startsWith('HTTP/1.1 502 ')) wrong.push(`${name}, ${encoding}: ${JSON.stringify(text)}`)
+        await rig.close()
+      }
+    }
+    expect(wrong).toEqual([])
   })
 })
 
