Check the end of a connection in the callback of the write

ClientSocket read the error of its empty write from the stream right after the call, which relies on the runtime trying the write at once. The callback states the same, and comes before any other event. While a part of the request is still to be written, no further write is needed: the pending one gets the error. No change that callers see; resets.test.ts and resetreaders.test.ts pass as before.

--- a/src/base/clientsocket.ts
+++ b/src/base/clientsocket.ts
@@ -33,17 +33,16 @@
 
   /** Reports the end unless the connection was reset, which the destruction of the socket reports. */
   private checkEnd (): void {
-    const hasPendingWrite = this.writableLength > 0
-    // The system returns the error of the connection, if there is one, and sends nothing.
-    if (this.writable) this.write(NO_BYTES)
-    if (hasPendingWrite) {
-      // The system returns the error to the write that is pending, in this turn.
-      this.isCheckingEnd = true
-      setImmediate(() => { if (!this.destroyed) this.reportEnd() })
-    } else if (this.errored === null || hasCode(this.errored, ENDED_CODE)) this.reportEnd()
+    this.isCheckingEnd = true
+    if (!this.writable) this.reportEnd()
+    // The system returns the error of a connection to the next write, here to the one that is pending, in this turn.
+    else if (this.writableLength > 0) setImmediate(() => this.reportEnd())
+    // Sends nothing.
+    else this.write(NO_BYTES, error => { if (error == null || hasCode(error, ENDED_CODE)) this.reportEnd() })
   }
 
   private reportEnd (): void {
+    if (this.destroyed) return
     super.emit('end')
     this.destroy()
   }
