Log what marked the end of a response

The record answered did not tell whether the server stated the end of a response or only closed its connection, so the logs could not tell the hypotheses of docs/incidents/restarted-servers.md apart. The field end does; it is at the level debug, as the rest of the record. The test that counted one such record checks its field, too.

--- a/src/forward/delivery.ts
+++ b/src/forward/delivery.ts
@@ -83,6 +83,7 @@
       server: this.server.id,
       waitedMs: Math.round(this.times.sentAt - this.request.arrivedAt),
       ...this.times.logFields,
+      end: this.isCloseDelimited ? 'connection' : 'stated',
       tokens: this.request.promptTokens,
       expectedTokens: this.request.expectedTokens
     }
--- a/test/closedelimited.test.ts
+++ b/test/closedelimited.test.ts
@@ -22,7 +22,7 @@
     rig = started.rig
     const text = await rig.request(POST, 'x')
     expect(bodyOf(text)).toEqual({ body: event(1) + event(2), isComplete: true })
-    expect(rig.log.find('answered').length === 1).toEqual(true)
+    expect(rig.log.find('answered').map(record => record['end'])).toEqual(['connection'])
   })
 
   // Guards against a stream that broke off within an event and looks complete to the caller.
