Show that a response with a length or chunks is complete though its connection is reset

The opposite of what resets.test.ts guards against otherwise: the reset of a connection during an upload must not cost a response that is whole.

--- a/test/resets.test.ts
+++ b/test/resets.test.ts
@@ -193,4 +193,29 @@
     }
     expect(wrong).toEqual([])
   })
+
+  // Guards against a complete response that is dropped because its connection is reset during the upload.
+  it('is complete if its framing says so', async () => {
+    const chunks = `${ALL_EVENTS.length.toString(16)}\r\n${ALL_EVENTS}\r\n0\r\n\r\n`
+    const bodies = [`Content-Length: ${ALL_EVENTS.length}\r\n\r\n${ALL_EVENTS}`, `Transfer-Encoding: chunked\r\n\r\n${chunks}`]
+    const wrong: string[] = []
+    for (const name of Object.keys(ROUTES) as Array<keyof typeof ROUTES>) {
+      for (const upload of Object.keys(UPLOADS) as Upload[]) {
+        for (const body of bodies) {
+          const rig = new Rig()
+          close = () => rig.close()
+          await rig.addServer((request, _, socket) => {
+            socket.pause()
+            socket.write(headOf(request).slice(0, -2) + body)
+            socket.resetAndDestroy()
+          }, hasHead)
+          await rig.listen(deploymentOf(name))
+          const text = await post(rig, upload)
+          if (!looksWhole(text) || bodyOf(text).body !== ALL_EVENTS) wrong.push(`${name}, upload ${upload}, ${body.slice(0, 18)}`)
+          await rig.close()
+        }
+      }
+    }
+    expect(wrong).toEqual([])
+  })
 })
