--- a/test/oddframing.test.ts
+++ b/test/oddframing.test.ts
@@ -1,11 +1,10 @@
 import { describe, it } from 'node:test'
-import { expect } from 'earl'
 import { MonotonicClock, SeededRandom } from '../src/base/index.js'
 import { ConnectionPool, DirectTransport, probeConnection, Reachability } from '../src/forward/index.js'
 import { RecordedLog } from './recordedlog.js'
 import { ScriptedServer } from './scriptedserver.js'
 
-/** Length of what a server sends of its body, in bytes, and that of the whole. */
+/** What a server sends of its body, and the length of the whole, in bytes. */
 const SENT = 'id: 1\ndata: x\n\n'
 const WHOLE_BYTES = 2 * SENT.length
 
@@ -86,7 +85,6 @@
           }
         }
         if (wrong.length > 0) throw new Error(wrong.join('\n'))
-        expect(wrong).toEqual([])
       })
     }
   }
--- a/test/oddheads.test.ts
+++ b/test/oddheads.test.ts
@@ -2,10 +2,10 @@
 import { expect } from 'earl'
 import { MonotonicClock, SeededRandom } from '../src/base/index.js'
 import { ConnectionPool, DirectTransport, probeConnection, Reachability } from '../src/forward/index.js'
-import { RetrySafety } from '../src/routing/index.js'
 import { ServiceClient } from '../src/service/index.js'
 import { RecordedLog } from './recordedlog.js'
-import { deployment, Rig, route } from './rig.js'
+import { deployment, Rig } from './rig.js'
+import { ROUTE_KINDS } from './routekinds.js'
 import { ScriptedServer } from './scriptedserver.js'
 
 const POST = ['POST /a HTTP/1.1', 'x-attempt: a1']
@@ -26,18 +26,11 @@
 /** Statuses that are none: HTTP has 100 to 599. */
 const ODD_STATUSES = ['000', '001', '099', '0200', '-200', '+200', '2OO', '20', '2', '', ' 200', '600', '999', '1000', '200.0', '0x200']
 
-const ROUTES = {
-  unsafe: route({ retrySafety: RetrySafety.unsafe, timeoutMs: 1_500 }),
-  safe: route({ timeoutMs: 1_500 }),
-  stream: route({ retrySafety: RetrySafety.stream, timeoutMs: 1_500 }),
-  resumable: route({ retrySafety: RetrySafety.stream, isResumable: true, timeoutMs: 1_500 })
-} as const
-
 describe('an odd status', { timeout: 120_000 }, () => {
   let rig: Rig
   afterEach(async () => { await rig.close() })
 
-  for (const [name, current] of Object.entries(ROUTES)) {
+  for (const [name, current] of Object.entries(ROUTE_KINDS)) {
     // Guards against an answer without a proper status that its caller gets as the answer to its request.
     it(`is no response on a route that is ${name}`, async () => {
       const wrong: string[] = []
@@ -105,7 +98,7 @@
   // Guards against a body that its caller gets in an encoding that no header states any more.
   it('makes the response no response', async () => {
     const wrong: string[] = []
-    for (const [name, current] of Object.entries(ROUTES)) {
+    for (const [name, current] of Object.entries(ROUTE_KINDS)) {
       for (const encoding of UNKNOWN_ENCODINGS) {
         rig = new Rig()
         for (let index = 0; index < 2; index++) {
--- a/test/resets.test.ts
+++ b/test/resets.test.ts
@@ -1,12 +1,12 @@
 import { afterEach, describe, it } from 'node:test'
 import type { Socket } from 'node:net'
 import { expect } from 'earl'
-import { RetrySafety } from '../src/routing/index.js'
 import { answerHeaders, HostFleet, sleep } from './hostfleet.js'
 import { waitFor } from './hostprocess.js'
 import { bodyOf, sendRaw } from './rawcaller.js'
 import { RelayRig } from './relayrig.js'
-import { deployment, Rig, route } from './rig.js'
+import { deployment, Rig } from './rig.js'
+import { ROUTE_KINDS } from './routekinds.js'
 import { hasHead, respond, type Script } from './scriptedserver.js'
 
 /** First port of the host under test. */
@@ -40,17 +40,9 @@
 const PACES = ['at once', 'apart'] as const
 type Pace = typeof PACES[number]
 
-/** Routes by their names, which differ in whether a request may be sent again. */
-const ROUTES = {
-  unsafe: route({ retrySafety: RetrySafety.unsafe, timeoutMs: 1_500 }),
-  safe: route({ timeoutMs: 1_500 }),
-  stream: route({ retrySafety: RetrySafety.stream, timeoutMs: 1_500 }),
-  resumable: route({ retrySafety: RetrySafety.stream, isResumable: true, timeoutMs: 1_500 })
-} as const
-
-function deploymentOf (name: keyof typeof ROUTES): ReturnType<typeof deployment> {
+function deploymentOf (name: keyof typeof ROUTE_KINDS): ReturnType<typeof deployment> {
   const limits = { maxHeaderBytes: 16_384, maxBodyBytes: MAX_BODY_BYTES, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 }
-  return deployment({ routes: [ROUTES[name]], limits })
+  return deployment({ routes: [ROUTE_KINDS[name]], limits })
 }
 
 /** @returns the head of a response without a length */
@@ -92,7 +84,7 @@
   let close = async (): Promise<unknown> => undefined
   afterEach(async () => { await close() })
 
-  for (const name of Object.keys(ROUTES) as Array<keyof typeof ROUTES>) {
+  for (const name of Object.keys(ROUTE_KINDS) as Array<keyof typeof ROUTE_KINDS>) {
     // Guards against half of a response, or a stream without its last events, that looks complete to its caller.
     it(`does not look complete on a route that is ${name}`, async () => {
       const wrong: string[] = []
@@ -117,7 +109,7 @@
   // Guards against half of a response that looks complete since another host relayed it.
   it('does not look complete if another host relays it', async () => {
     const wrong: string[] = []
-    for (const name of Object.keys(ROUTES) as Array<keyof typeof ROUTES>) {
+    for (const name of Object.keys(ROUTE_KINDS) as Array<keyof typeof ROUTE_KINDS>) {
       for (const upload of ['short', 'long'] as const) {
         const script = breakingOff('reset', 'apart')
         const relayRig = await RelayRig.start(deploymentOf(name), [script, script], 1, () => undefined, hasHead)
@@ -155,7 +147,7 @@
     let lastAttempt = 0
     for (way of WAYS) {
       for (pace of PACES) {
-        for (const name of Object.keys(ROUTES)) {
+        for (const name of Object.keys(ROUTE_KINDS)) {
           for (let count = 0; count < REPEATS; count++) {
             const attemptId = `r${++lastAttempt}`
             const received = await sendRaw(fleet.hosts[0]!.callerAddress, {
@@ -172,7 +164,7 @@
   // Guards against a complete response that is dropped because its server closes before it has read a long body.
   it('is complete if the connection had ended before', async () => {
     const wrong: string[] = []
-    for (const name of Object.keys(ROUTES) as Array<keyof typeof ROUTES>) {
+    for (const name of Object.keys(ROUTE_KINDS) as Array<keyof typeof ROUTE_KINDS>) {
       for (const upload of Object.keys(UPLOADS) as Upload[]) {
         for (const delayMs of [0, PAUSE_MS]) {
           const rig = new Rig()
@@ -199,7 +191,7 @@
     const chunks = `${ALL_EVENTS.length.toString(16)}\r\n${ALL_EVENTS}\r\n0\r\n\r\n`
     const bodies = [`Content-Length: ${ALL_EVENTS.length}\r\n\r\n${ALL_EVENTS}`, `Transfer-Encoding: chunked\r\n\r\n${chunks}`]
     const wrong: string[] = []
-    for (const name of Object.keys(ROUTES) as Array<keyof typeof ROUTES>) {
+    for (const name of Object.keys(ROUTE_KINDS) as Array<keyof typeof ROUTE_KINDS>) {
       for (const upload of Object.keys(UPLOADS) as Upload[]) {
         for (const body of bodies) {
           const rig = new Rig()
